--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -1,6 +1,7 @@
 """Compose one entry VM from its slices."""
 
 from random import Random
+from typing import Final
 
 import attrs
 import trio
@@ -9,6 +10,7 @@
 from burdocksill.documents.dissemination import PlatformLearner
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.guards import Guards
 from burdocksill.entry.router import Router
 from burdocksill.flows.cookie import SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
@@ -22,11 +24,10 @@
 from burdocksill.peers.envelope import EnvelopeSealer
 from burdocksill.peers.messages import RelayRequest
 from burdocksill.platform.protocols import Platform
-from burdocksill.requests.window import TokenWindow
+from burdocksill.requests.dispatch import DeadlineDispatcher
 from burdocksill.upstreams.client import VerifiedClient
-from burdocksill.upstreams.limits import SlotLimiter
 
-RECONCILE_SECONDS = 0.5
+RECONCILE_SECONDS: Final = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -40,7 +41,8 @@
     rng: Random = attrs.field(factory=Random)
     counters: Counters = attrs.field(factory=Counters)
     keys: KeyHolder = attrs.field(factory=KeyHolder)
-    store: DocumentStore = attrs.field(factory=DocumentStore)
+    guards: Guards = attrs.field(factory=Guards)
+    store: DocumentStore = attrs.field(init=False)
     membership: ListedMembership = attrs.field(init=False)
     owners: OwnerTable = attrs.field(init=False)
     router: Router = attrs.field(init=False)
@@ -48,6 +50,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
+        self.store = DocumentStore(rule=self.guards.revision_rule())
         self.membership = ListedMembership(
             itself=self.settings.member,
             platform=self.platform,
@@ -116,6 +119,12 @@
         epoch: bytes,
     ) -> OwnedUpstream:
         """Make what this VM holds for an upstream it owns."""
+        client = VerifiedClient(
+            service=document.service,
+            upstream=upstream,
+            network=self.network,
+            verifier=self.guards.verifier(),
+        )
         return OwnedUpstream(
             document=document,
             upstream=upstream,
@@ -124,12 +133,11 @@
             sealer=self.router.sealer,
             clock=self.clock,
             rng=self.rng,
-            window=TokenWindow(),
-            limiter=SlotLimiter(slots=upstream.slots),
-            client=VerifiedClient(
-                service=document.service,
-                upstream=upstream,
-                network=self.network,
+            window=self.guards.window(),
+            client=client,
+            dispatcher=DeadlineDispatcher(
+                limiter=self.guards.limiter(upstream.slots),
+                client=client,
             ),
             counters=self.counters,
             reply=self.router.reply,
--- a/burdocksill/membership/listed.py
+++ b/burdocksill/membership/listed.py
@@ -1,6 +1,7 @@
 """Membership by the platform's lagging list alone: the first baseline."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -24,6 +25,7 @@
     itself: Member
     platform: Platform
     members: dict[bytes, Member] = attrs.field(factory=dict)
+    listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
     def live(self, domain: str) -> tuple[Member, ...]:
         """Return the listed members of a failure domain, sorted by name."""
@@ -38,6 +40,14 @@
         """Return a listed member by its tag."""
         return self.members.get(tag)
 
+    def quorate(self) -> bool:
+        """Return True: the list cannot tell."""
+        return True
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener after every change of members."""
+        self.listeners.append(listener)
+
     async def run(self) -> None:
         """Read the list again and again."""
         while True:
@@ -60,9 +70,12 @@
             if record.role == ENTRY_ROLE and record.state is VmState.LIVE
         ]
         fresh = {member.tag: member for member in (*listed, self.itself)}
-        if fresh.keys() != self.members.keys():
-            logger.info('members', extra={'count': len(fresh)})
+        known = self.members
         self.members = fresh
+        if fresh.keys() != known.keys():
+            logger.info('members', extra={'count': len(fresh)})
+            for listener in self.listeners:
+                listener()
 
 
 def member_of(record: VmRecord) -> Member:
--- a/burdocksill/membership/protocols.py
+++ b/burdocksill/membership/protocols.py
@@ -1,5 +1,7 @@
 """What the other slices need to know of the fleet's members."""
 
+import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -8,6 +10,15 @@
 from burdocksill.network.protocols import Address
 
 
+class MemberState(enum.StrEnum):
+    """Name what is believed of an entry VM."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    LEAVING = 'leaving'
+    DEAD = 'dead'
+
+
 @attrs.frozen(kw_only=True)
 class Member:
     """Describe one entry VM."""
@@ -16,6 +27,7 @@
     domain: str
     peer_address: Address
     incarnation: int = 0
+    state: MemberState = MemberState.ALIVE
 
     @property
     def tag(self) -> bytes:
@@ -31,7 +43,16 @@
         """Return this VM."""
 
     def live(self, domain: str) -> tuple[Member, ...]:
-        """Return the live members of a failure domain, sorted by name."""
+        """Return the members that may own upstreams, sorted by name.
+
+        Alive and suspect ones count; leaving and dead ones do not.
+        """
 
     def find(self, tag: bytes) -> Member | None:
-        """Return a live member by its tag."""
+        """Return a member that packets can be relayed to, leaving included."""
+
+    def quorate(self) -> bool:
+        """Return True while this VM hears a majority of its domain."""
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener after every change of members."""
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -20,13 +20,13 @@
 from burdocksill.membership.protocols import Member
 from burdocksill.network.protocols import Address, WallClock
 from burdocksill.observe.counters import Counters
+from burdocksill.requests.dispatch import Dispatcher
 from burdocksill.requests.exceptions import RequestFailedError
-from burdocksill.requests.mapping import caller_answer, upstream_request
 from burdocksill.requests.messages import Answer, Envelope
 from burdocksill.requests.refusals import refusal
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.requests.window import ClaimState, RequestKey, RequestWindow
-from burdocksill.upstreams.protocols import Limiter, UpstreamClient
+from burdocksill.upstreams.protocols import UpstreamClient
 
 
 @attrs.define(kw_only=True)
@@ -41,8 +41,8 @@
     clock: WallClock
     rng: Random
     window: RequestWindow
-    limiter: Limiter
     client: UpstreamClient
+    dispatcher: Dispatcher
     counters: Counters
     reply: Callable[[Envelope, Answer], None]
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -102,39 +102,20 @@
         """Dispatch one request, or say why not and when to come back."""
         fresh = self.cookie(cookie.flow_id, envelope.caller)
         try:
-            answer = await self.dispatch(envelope, cookie)
+            if cookie.age(self.clock.now()) is not CookieAge.VALID:
+                raise RequestFailedError(
+                    verdict=Verdict.NOT_RUN,
+                    reason=Reason.COOKIE_EXPIRED,
+                )
+            answer = await self.dispatcher.dispatch(
+                envelope.request,
+                flow_id=cookie.flow_id,
+                longest_seconds=self.document.deadline_seconds,
+            )
         except RequestFailedError as failure:
             return refusal(failure, cookie=fresh)
         return attrs.evolve(answer, cookie=fresh)
 
-    async def dispatch(self, envelope: Envelope, cookie: Cookie) -> Answer:
-        """Carry a request to the upstream within its deadline."""
-        if cookie.age(self.clock.now()) is not CookieAge.VALID:
-            raise RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=Reason.COOKIE_EXPIRED,
-            )
-        request = envelope.request
-        seconds = self.document.deadline_seconds
-        if request.timeout_seconds:
-            seconds = min(seconds, request.timeout_seconds)
-        with self.limiter.slot(deadline=trio.current_time() + seconds):
-            try:
-                with trio.fail_after(seconds):
-                    received = await self.client.exchange(
-                        upstream_request(
-                            request,
-                            flow_id=cookie.flow_id,
-                            timeout_seconds=seconds,
-                        ),
-                    )
-            except trio.TooSlowError as error:
-                raise RequestFailedError(
-                    verdict=Verdict.MAY_HAVE_RUN,
-                    reason=Reason.DEADLINE_PASSED,
-                ) from error
-        return caller_answer(request, received)
-
     def finish(self, envelope: Envelope, answer: Answer) -> None:
         """Count an answer and send it with the hops it took."""
         self.counters.add(
--- /dev/null
+++ b/burdocksill/requests/dispatch.py
@@ -0,0 +1,62 @@
+"""Carry one request to its upstream within its deadline."""
+
+from typing import Protocol
+
+import attrs
+import trio
+
+from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.mapping import caller_answer, upstream_request
+from burdocksill.requests.messages import Answer, CallerRequest
+from burdocksill.requests.verdict import Reason, Verdict
+from burdocksill.upstreams.protocols import Limiter, UpstreamClient
+
+
+class Dispatcher(Protocol):
+    """Run a request that the at-most-once window has let through."""
+
+    async def dispatch(
+        self,
+        request: CallerRequest,
+        *,
+        flow_id: bytes,
+        longest_seconds: float,
+    ) -> Answer:
+        """Return the upstream's answer, or raise RequestFailedError."""
+
+
+@attrs.define(kw_only=True)
+class DeadlineDispatcher:
+    """Take a slot, send the request and give up at its deadline."""
+
+    limiter: Limiter
+    client: UpstreamClient
+
+    async def dispatch(
+        self,
+        request: CallerRequest,
+        *,
+        flow_id: bytes,
+        longest_seconds: float,
+    ) -> Answer:
+        """Return the upstream's answer, or raise RequestFailedError."""
+        seconds = longest_seconds
+        if request.timeout_seconds:
+            seconds = min(seconds, request.timeout_seconds)
+        deadline = trio.current_time() + seconds
+        with self.limiter.slot(deadline=deadline):
+            try:
+                with trio.fail_at(deadline):
+                    received = await self.client.exchange(
+                        upstream_request(
+                            request,
+                            flow_id=flow_id,
+                            timeout_seconds=seconds,
+                        ),
+                    )
+            except trio.TooSlowError as error:
+                raise RequestFailedError(
+                    verdict=Verdict.MAY_HAVE_RUN,
+                    reason=Reason.DEADLINE_PASSED,
+                ) from error
+        return caller_answer(request, received)
--- a/burdocksill/upstreams/messages.py
+++ b/burdocksill/upstreams/messages.py
@@ -25,6 +25,21 @@
     etag: str = ''
 
 
+@attrs.frozen(kw_only=True)
+class UpstreamHint:
+    """Hold what an owner tells others of one upstream; it may be stale.
+
+    Gossip carries it; placement reads it; the owner has the last word.
+    """
+
+    service: str
+    upstream: str
+    free_slots: int
+    slots: int
+    cold: bool = False
+    leaving: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class Identity:
     """Hold who an upstream says it is; a restart makes a new instance."""
--- a/burdocksill/upstreams/protocols.py
+++ b/burdocksill/upstreams/protocols.py
@@ -8,6 +8,7 @@
 from burdocksill.upstreams.messages import (
     Identity,
     UpstreamAnswer,
+    UpstreamHint,
     UpstreamRequest,
 )
 
@@ -39,3 +40,17 @@
 
     def slot(self, *, deadline: float) -> AbstractContextManager[None]:
         """Hold one slot, or raise RequestFailedError (not run) at once."""
+
+
+class HintSource(Protocol):
+    """Tell what this VM's own upstreams can take, for gossip to carry."""
+
+    def hints(self) -> tuple[UpstreamHint, ...]:
+        """Return one hint for each owned upstream."""
+
+
+class HintSink(Protocol):
+    """Take what other owners tell of their upstreams."""
+
+    def take_hints(self, owner: str, hints: tuple[UpstreamHint, ...]) -> None:
+        """Remember the hints of one owner."""
--- a/burdocksill_lab/fakes/world.py
+++ b/burdocksill_lab/fakes/world.py
@@ -12,6 +12,7 @@
 from burdocksill.conf.settings import Settings
 from burdocksill.documents.acceptance import put_document
 from burdocksill.documents.models import ServiceDocument, Upstream
+from burdocksill.entry.guards import Guards
 from burdocksill.entry.node import EntryNode
 from burdocksill.flows.keys import encode_ring, rotate
 from burdocksill.network.protocols import Address
@@ -50,6 +51,7 @@
     """Hold the fakes, the nodes and the upstreams of one story."""
 
     seed: int
+    guards: Guards = attrs.field(factory=Guards)
     rng: Random = attrs.field(init=False)
     network: FakeNetwork = attrs.field(init=False)
     platform: MemoryPlatform = attrs.field(factory=MemoryPlatform)
@@ -110,6 +112,7 @@
             platform=self.platform,
             clock=VirtualClock(),
             rng=Random(self.rng.random()),
+            guards=self.guards,
         )
 
     def spray(self) -> list[Address]:
@@ -171,9 +174,13 @@
 
 
 @asynccontextmanager
-async def open_world(seed: int) -> AsyncGenerator[World, None]:
+async def open_world(
+    seed: int,
+    *,
+    guards: Guards | None = None,
+) -> AsyncGenerator[World, None]:
     """Open a world with fleet keys in the platform; end it with the block."""
-    world = World(seed=seed)
+    world = World(seed=seed, guards=guards or Guards())
     world.platform.put(keys.FLEET_KEYS, encode_ring(rotate(None)))
     async with trio.open_nursery() as nursery:
         world.nursery = nursery
--- /dev/null
+++ b/burdocksill_lab/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each of the ten promises, named as in the catalog."""
