Limit each upstream by what its owner measures, and watch its connections

Until now an owner gave an upstream all its slots at once, refused the rest without a time to come back, and learned of a lost connection only by its end.

The owner now starts at the cold limit, grows it on success and halves it on shedding; a report of load only lowers it. Work that cannot meet its deadline is refused at once with a jittered time to come back that grows with the number refused. One task writes to a connection, so a deadline no longer cuts a frame in half, and a request that was never written is 'not run'. PING finds silent connections; GOAWAY lets open streams end. An upstream that leaves refuses new requests and the flow is opened elsewhere; retries elsewhere are held to a share of successes; new flows take the better of two choices.

Ruled out: sending from each request's own task (its cancellation would leave half a frame behind).

--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -1,19 +1,56 @@
 """The guards of one node, so that a control run can replace each of them."""
 
 from collections.abc import Callable
+from random import Random
 
 import attrs
 
-from burdocksill.documents.store import HighestRevisionRule, RevisionRule
+from burdocksill.documents.models import Upstream
+from burdocksill.documents.store import (
+    DocumentStore,
+    HighestRevisionRule,
+    RevisionRule,
+)
+from burdocksill.flows.placement import Placer, TwoChoicePlacer
+from burdocksill.membership.protocols import MemberView
+from burdocksill.platform.protocols import Platform
+from burdocksill.requests.retries import RetryBudget, ShareBudget
 from burdocksill.requests.window import RequestWindow, TokenWindow
 from burdocksill.upstreams.client import NameVerifier
-from burdocksill.upstreams.limits import SlotLimiter
+from burdocksill.upstreams.departures import DepartureList, LeavingRule
+from burdocksill.upstreams.hints import HintBook
+from burdocksill.upstreams.limits import make_limiter
 from burdocksill.upstreams.protocols import IdentityVerifier, Limiter
 
 
-def slot_limiter(slots: int) -> Limiter:
-    """Make the limiter of an upstream."""
-    return SlotLimiter(slots=slots)
+def adaptive_limiter(upstream: Upstream, rng: Random) -> Limiter:
+    """Make the limiter of an upstream, cold."""
+    return make_limiter(
+        name=upstream.name,
+        slots=upstream.slots,
+        cold_limit=upstream.cold_limit,
+        rng=rng,
+    )
+
+
+def listed_departures(platform: Platform) -> LeavingRule:
+    """Make what decides whether an upstream leaves."""
+    return DepartureList(platform=platform)
+
+
+def two_choices(
+    members: MemberView,
+    store: DocumentStore,
+    rng: Random,
+    hints: HintBook,
+) -> Placer:
+    """Make what chooses the upstream of a new flow."""
+    return TwoChoicePlacer(
+        members=members,
+        store=store,
+        rng=rng,
+        hints=hints,
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -27,4 +64,10 @@
     window: Callable[[], RequestWindow] = TokenWindow
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
-    limiter: Callable[[int], Limiter] = slot_limiter
+    limiter: Callable[[Upstream, Random], Limiter] = adaptive_limiter
+    leaving_rule: Callable[[Platform], LeavingRule] = listed_departures
+    retry_budget: Callable[[], RetryBudget] = ShareBudget
+    placer: Callable[
+        [MemberView, DocumentStore, Random, HintBook],
+        Placer,
+    ] = two_choices
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -14,7 +14,6 @@
 from burdocksill.entry.router import Router
 from burdocksill.flows.cookie import SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
-from burdocksill.flows.placement import RandomPlacer
 from burdocksill.membership.listed import ListedMembership
 from burdocksill.network.protocols import Network, WallClock
 from burdocksill.observe.counters import Counters
@@ -25,7 +24,10 @@
 from burdocksill.peers.messages import RelayRequest
 from burdocksill.platform.protocols import Platform
 from burdocksill.requests.dispatch import DeadlineDispatcher
+from burdocksill.requests.retries import RetryBudget
 from burdocksill.upstreams.client import VerifiedClient
+from burdocksill.upstreams.departures import LeavingRule
+from burdocksill.upstreams.hints import HintBook
 
 RECONCILE_SECONDS: Final = 0.5
 
@@ -46,6 +48,9 @@
     membership: ListedMembership = attrs.field(init=False)
     owners: OwnerTable = attrs.field(init=False)
     router: Router = attrs.field(init=False)
+    leaving_rule: LeavingRule = attrs.field(init=False)
+    hints: HintBook = attrs.field(init=False)
+    budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     serving: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -55,6 +60,7 @@
             itself=self.settings.member,
             platform=self.platform,
         )
+        self.leaving_rule = self.guards.leaving_rule(self.platform)
 
     async def run(self) -> None:
         """Learn first, then serve until cancelled."""
@@ -68,6 +74,7 @@
             await learner.learned.wait()
             await self.membership.refresh()
             nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.leaving_rule.run)
             await self.start_serving(nursery)
             while True:
                 self.owners.reconcile()
@@ -82,6 +89,7 @@
             nursery=nursery,
             build=self.build_owned,
         )
+        self.hints = HintBook(own=self.owners.hints)
         channel = PeerChannel(
             socket=await self.network.open_datagrams(self.settings.peer),
             sealer=EnvelopeSealer(
@@ -95,10 +103,11 @@
             members=self.membership,
             store=self.store,
             sealer=SignedCookieSealer(keys=self.keys, clock=self.clock),
-            placer=RandomPlacer(
-                members=self.membership,
-                store=self.store,
-                rng=self.rng,
+            placer=self.guards.placer(
+                self.membership,
+                self.store,
+                self.rng,
+                self.hints,
             ),
             owners=self.owners,
             channel=channel,
@@ -119,10 +128,13 @@
         epoch: bytes,
     ) -> OwnedUpstream:
         """Make what this VM holds for an upstream it owns."""
+        limiter = self.guards.limiter(upstream, self.rng)
         client = VerifiedClient(
             service=document.service,
             upstream=upstream,
             network=self.network,
+            limiter=limiter,
+            counters=self.counters,
             verifier=self.guards.verifier(),
         )
         return OwnedUpstream(
@@ -136,9 +148,20 @@
             window=self.guards.window(),
             client=client,
             dispatcher=DeadlineDispatcher(
-                limiter=self.guards.limiter(upstream.slots),
+                limiter=limiter,
                 client=client,
             ),
+            limiter=limiter,
+            leaving_rule=self.leaving_rule,
+            members=self.membership,
+            budget=self.budget(document.service),
+            elsewhere=self.router.move,
             counters=self.counters,
             reply=self.router.reply,
         )
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget that a service's upstreams here share."""
+        if service not in self.budgets:
+            self.budgets[service] = self.guards.retry_budget()
+        return self.budgets[service]
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,5 +1,7 @@
 """Decide for each caller's datagram which VM serves it."""
 
+from typing import Final
+
 import attrs
 import trio
 
@@ -8,7 +10,7 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import Cookie, CookieSealer, name_tag
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import Placer
+from burdocksill.flows.placement import Placement, Placer
 from burdocksill.membership.protocols import MemberView
 from burdocksill.network.protocols import Address, Datagram, DatagramSocket
 from burdocksill.observe.counters import Counters
@@ -25,6 +27,9 @@
 from burdocksill.requests.refusals import refusal
 from burdocksill.requests.verdict import Reason, Verdict
 
+# A new flow is passed on at most this far: VMs and upstreams both count.
+LONGEST_PATH: Final = 9
+
 
 @attrs.define(kw_only=True)
 class Router:
@@ -125,6 +130,10 @@
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.NO_UPSTREAM,
             )
+        self.go(envelope, placement)
+
+    def go(self, envelope: Envelope, placement: Placement) -> None:
+        """Open a flow where it was placed."""
         if placement.owner == self.members.itself:
             self.open_flow(envelope, placement.upstream.name)
             return
@@ -134,6 +143,22 @@
             upstream=placement.upstream.name,
         )
 
+    def move(self, envelope: Envelope, upstream: str) -> bool:
+        """Open a flow at another upstream; return False without one.
+
+        The hops name the upstreams that were tried, and their number ends a
+        search in which every owner names another.
+        """
+        document = self.store.services.get(envelope.request.service)
+        if document is None or len(envelope.hops) >= LONGEST_PATH:
+            return False
+        hops = (*envelope.hops, upstream)
+        placement = self.placer.place(document, avoid=frozenset(hops))
+        if placement is None:
+            return False
+        self.go(attrs.evolve(envelope, hops=hops), placement)
+        return True
+
     def follow(self, envelope: Envelope, cookie: Cookie) -> None:
         """Go to the owner that the cookie names."""
         if cookie.owner_tag != self.members.itself.tag:
--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -9,7 +9,12 @@
 from burdocksill.documents.store import DocumentStore
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.ownership.rendezvous import owner_of
+from burdocksill.upstreams.hints import HeldHint, HintBook
 
+# Another failure domain is taken only when its upstream has this much less
+# load than the best of our own: near ones are kept while they are no worse.
+SPILL_MARGIN: Final = 0.05
+CHOICES: Final = 2
 NOTHING_AVOIDED: Final[frozenset[str]] = frozenset()
 
 
@@ -33,9 +38,96 @@
         """Return a choice outside the upstreams to avoid, None without one."""
 
 
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """Hold an upstream that could be chosen and its load as far as known."""
+
+    placement: Placement
+    load: float = 0
+
+
+@attrs.define(kw_only=True)
+class TwoChoicePlacer:
+    """Choose the less loaded of two random upstreams, near ones first.
+
+    Hints are stale. The least loaded of all would be hit by every VM at once
+    until the next hint; of two random ones it is not. What this VM placed
+    since the hint is added, times the VMs that do the same meanwhile.
+    """
+
+    members: MemberView
+    store: DocumentStore
+    rng: Random
+    hints: HintBook
+
+    def place(
+        self,
+        document: ServiceDocument,
+        *,
+        avoid: frozenset[str] = NOTHING_AVOIDED,
+    ) -> Placement | None:
+        """Return a choice outside the upstreams to avoid, None without one."""
+        self.hints.refresh_own()
+        found = self.candidates(document, avoid)
+        home = self.members.itself.domain
+        near = self.choose(
+            [one for one in found if one.placement.upstream.domain == home],
+        )
+        far = self.choose(
+            [one for one in found if one.placement.upstream.domain != home],
+        )
+        chosen = near or far
+        if near and far and near.load * (1 - SPILL_MARGIN) > far.load:
+            chosen = far
+        if chosen is None:
+            return None
+        name = chosen.placement.upstream.name
+        self.hints.count_placed(document.service, name)
+        return chosen.placement
+
+    def choose(self, found: list[Candidate]) -> Candidate | None:
+        """Return the better of two at random, None without any."""
+        picked = self.rng.sample(found, min(CHOICES, len(found)))
+        return min(picked, key=lambda one: one.load, default=None)
+
+    def candidates(
+        self,
+        document: ServiceDocument,
+        avoid: frozenset[str],
+    ) -> list[Candidate]:
+        """Return what may be chosen: those with room, else all usable."""
+        roomy: list[Candidate] = []
+        usable: list[Candidate] = []
+        for upstream in document.upstreams:
+            if upstream.name in avoid or not may_get_flows(
+                self.store, upstream
+            ):
+                continue
+            owner = find_owner(self.members, document.service, upstream)
+            if owner is None:
+                continue
+            held = self.hints.find(document.service, upstream.name)
+            candidate = Candidate(
+                placement=Placement(upstream=upstream, owner=owner),
+                load=self.load(held, upstream),
+            )
+            usable.append(candidate)
+            if has_room(held):
+                roomy.append(candidate)
+        return roomy or usable
+
+    def load(self, held: HeldHint | None, upstream: Upstream) -> float:
+        """Return an upstream's flows for each request it can run at once."""
+        if held is None:
+            return 0
+        placers = max(1, len(self.members.live(upstream.domain)))
+        flows = held.hint.flows + held.placed * placers
+        return flows / max(1, held.hint.slots)
+
+
 @attrs.define(kw_only=True)
 class RandomPlacer:
-    """Choose at random, the own failure domain first."""
+    """Choose at random, near ones first: the baseline of the control runs."""
 
     members: MemberView
     store: DocumentStore
@@ -51,23 +143,38 @@
         usable = [
             upstream
             for upstream in document.upstreams
-            if upstream.name not in avoid and self.usable(upstream)
+            if upstream.name not in avoid
+            and may_get_flows(self.store, upstream)
         ]
         home = self.members.itself.domain
         near = [upstream for upstream in usable if upstream.domain == home]
         for group in (near, usable):
             shuffled = self.rng.sample(group, len(group))
             for upstream in shuffled:
-                owner = self.owner(document.service, upstream)
+                owner = find_owner(self.members, document.service, upstream)
                 if owner is not None:
                     return Placement(upstream=upstream, owner=owner)
         return None
 
-    def usable(self, upstream: Upstream) -> bool:
-        """Return True for an upstream that may get new flows."""
-        return not upstream.draining and not self.store.is_out(upstream.domain)
 
-    def owner(self, service: str, upstream: Upstream) -> Member | None:
-        """Return the live member that owns an upstream."""
-        members = self.members.live(upstream.domain)
-        return owner_of(members, f'{service}/{upstream.name}')
+def may_get_flows(store: DocumentStore, upstream: Upstream) -> bool:
+    """Return True unless the document or the operators say otherwise."""
+    return not upstream.draining and not store.is_out(upstream.domain)
+
+
+def has_room(held: HeldHint | None) -> bool:
+    """Return True unless a hint says that new flows are not wanted."""
+    if held is None:
+        return True
+    hint = held.hint
+    return not hint.leaving and not (hint.cold and hint.free_slots == 0)
+
+
+def find_owner(
+    members: MemberView,
+    service: str,
+    upstream: Upstream,
+) -> Member | None:
+    """Return the live member that owns an upstream."""
+    live = members.live(upstream.domain)
+    return owner_of(live, f'{service}/{upstream.name}')
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
 import attrs
 import trio
@@ -17,16 +18,27 @@
     address_tag,
     name_tag,
 )
-from burdocksill.membership.protocols import Member
+from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import Address, WallClock
 from burdocksill.observe.counters import Counters
 from burdocksill.requests.dispatch import Dispatcher
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.messages import Answer, Envelope
 from burdocksill.requests.refusals import refusal
+from burdocksill.requests.retries import RetryBudget
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.requests.window import ClaimState, RequestKey, RequestWindow
-from burdocksill.upstreams.protocols import UpstreamClient
+from burdocksill.upstreams.departures import LeavingRule
+from burdocksill.upstreams.flows import FlowBook
+from burdocksill.upstreams.messages import UpstreamHint
+from burdocksill.upstreams.protocols import Limiter, UpstreamClient
+
+# These refusals cost no upstream anything, so sending the request elsewhere
+# adds no load; shedding and full queues do, and are held to the budget.
+FREE_MOVES: Final = frozenset(
+    (Reason.UPSTREAM_LEAVING, Reason.UPSTREAM_DOWN, Reason.UPSTREAM_COLD),
+)
+BUDGETED_MOVES: Final = frozenset((Reason.UPSTREAM_SHED, Reason.OVERLOADED))
 
 
 @attrs.define(kw_only=True)
@@ -45,6 +57,15 @@
     dispatcher: Dispatcher
     counters: Counters
     reply: Callable[[Envelope, Answer], None]
+    limiter: Limiter
+    leaving_rule: LeavingRule
+    members: MemberView
+    budget: RetryBudget
+    # Opens the flow at another upstream than the one named, if it can.
+    elsewhere: Callable[[Envelope, str], bool]
+    flows: FlowBook = attrs.field(
+        factory=lambda: FlowBook(lifetime_seconds=COOKIE_LIFETIME_SECONDS),
+    )
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     async def run(self) -> None:
@@ -52,18 +73,78 @@
         with self.scope:
             await self.client.run()
 
+    @property
+    def leaving(self) -> bool:
+        """Return True when the upstream gets no new work."""
+        return self.leaving_rule.leaves(self.upstream, told=self.client.leaving)
+
+    def hint(self) -> UpstreamHint:
+        """Return what other VMs may know of the upstream."""
+        return UpstreamHint(
+            service=self.document.service,
+            upstream=self.upstream.name,
+            free_slots=self.limiter.free,
+            slots=self.limiter.limit,
+            cold=self.limiter.cold,
+            leaving=self.leaving or not self.client.connected,
+            flows=self.flows.count(trio.current_time()),
+        )
+
+    def start_cold(self, *, silence_seconds: float) -> None:
+        """Begin cold after a silence: another VM may still be its owner."""
+        self.limiter.start_cold(
+            cause='takeover',
+            silence_seconds=silence_seconds,
+        )
+
     def open_flow(self, envelope: Envelope) -> None:
-        """Give a new flow its cookie: nothing was dispatched."""
+        """Give a new flow its cookie, here or elsewhere; nothing has run."""
+        reason = self.unwilling(envelope)
+        if reason is not None and self.elsewhere(envelope, self.upstream.name):
+            self.counters.add('flows_sent_elsewhere', reason=reason.value)
+            return
+        if reason in {Reason.UPSTREAM_LEAVING, Reason.OVERLOADED}:
+            failure = RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=reason,
+            )
+            self.finish(envelope, refusal(failure))
+            return
         failure = RequestFailedError(
             verdict=Verdict.NOT_RUN,
             reason=Reason.COOKIE_NEEDED,
             retry_after_seconds=COOKIE_LIFETIME_SECONDS,
         )
         flow_id = self.rng.randbytes(FLOW_ID_BYTES)
+        self.flows.open(flow_id, trio.current_time())
         cookie = self.cookie(flow_id, envelope.caller)
         self.counters.add('flows_opened', service=self.document.service)
         self.finish(envelope, refusal(failure, cookie=cookie))
 
+    def unwilling(self, envelope: Envelope) -> Reason | None:
+        """Return why a new flow had better go elsewhere, None if it may stay.
+
+        Hints are stale, so this word is the last: only the owner knows.
+        """
+        if self.leaving:
+            return Reason.UPSTREAM_LEAVING
+        if not self.flows.admits(
+            trio.current_time(),
+            connections=self.upstream.connections,
+            foreign=self.foreign(envelope),
+        ):
+            return Reason.OVERLOADED
+        if not self.client.connected:
+            return Reason.UPSTREAM_DOWN
+        if self.limiter.cold and not self.limiter.free:
+            return Reason.UPSTREAM_COLD
+        return None
+
+    def foreign(self, envelope: Envelope) -> bool:
+        """Return True when a VM of another failure domain placed the flow."""
+        first = self.members.find(name_tag(envelope.hops[0]))
+        return first is not None and first.domain != self.upstream.domain
+
     def cookie(self, flow_id: bytes, caller: Address) -> bytes:
         """Seal a cookie of this epoch for a flow."""
         cookie = Cookie(
@@ -96,11 +177,35 @@
             return
         answer = await self.attempt(envelope, cookie)
         self.window.settle(key, answer)
+        if self.moves(answer) and self.elsewhere(envelope, self.upstream.name):
+            # The other owner answers with its own cookie; a late copy gets
+            # the refusal that was settled here.
+            self.flows.close(cookie.flow_id)
+            self.counters.add('flows_moved', reason=str(answer.reason))
+            return
         self.finish(envelope, answer)
 
+    def moves(self, answer: Answer) -> bool:
+        """Return True when a request is better sent elsewhere at once."""
+        if answer.verdict is Verdict.RAN:
+            self.budget.earn()
+        if answer.verdict is not Verdict.NOT_RUN:
+            return False
+        if answer.reason in BUDGETED_MOVES:
+            return self.budget.spend()
+        return answer.reason in FREE_MOVES
+
     async def attempt(self, envelope: Envelope, cookie: Cookie) -> Answer:
         """Dispatch one request, or say why not and when to come back."""
         fresh = self.cookie(cookie.flow_id, envelope.caller)
+        if self.leaving:
+            return refusal(
+                RequestFailedError(
+                    verdict=Verdict.NOT_RUN,
+                    reason=Reason.UPSTREAM_LEAVING,
+                ),
+            )
+        self.flows.use(cookie.flow_id, trio.current_time())
         try:
             if cookie.age(self.clock.now()) is not CookieAge.VALID:
                 raise RequestFailedError(
--- a/burdocksill/ownership/table.py
+++ b/burdocksill/ownership/table.py
@@ -13,6 +13,7 @@
 from burdocksill.membership.protocols import MemberView
 from burdocksill.ownership.owned import OwnedUpstream
 from burdocksill.ownership.rendezvous import owner_of
+from burdocksill.upstreams.messages import UpstreamHint
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +43,10 @@
         key = OwnedKey(service=service, upstream_tag=upstream_tag)
         return self.owned.get(key)
 
+    def hints(self) -> tuple[UpstreamHint, ...]:
+        """Return what others may know of the upstreams owned here."""
+        return tuple(owned.hint() for owned in self.owned.values())
+
     def reconcile(self) -> None:
         """Take what has become ours and release what has not."""
         wanted = self.wanted()
--- a/burdocksill/requests/dispatch.py
+++ b/burdocksill/requests/dispatch.py
@@ -44,14 +44,15 @@
         if request.timeout_seconds:
             seconds = min(seconds, request.timeout_seconds)
         deadline = trio.current_time() + seconds
-        with self.limiter.slot(deadline=deadline):
+        async with self.limiter.slot(deadline=deadline):
             try:
                 with trio.fail_at(deadline):
                     received = await self.client.exchange(
                         upstream_request(
                             request,
                             flow_id=flow_id,
-                            timeout_seconds=seconds,
+                            # The wait for the slot has used some of it.
+                            timeout_seconds=deadline - trio.current_time(),
                         ),
                     )
             except trio.TooSlowError as error:
--- /dev/null
+++ b/burdocksill/requests/retries.py
@@ -0,0 +1,55 @@
+"""How many retries may be added to the load that callers bring."""
+
+from typing import Final, Protocol
+
+import attrs
+
+RETRY_SHARE: Final = 0.1
+# A budget holds a few retries at most: saved up in quiet hours, more would
+# come out as one burst just when the upstreams are short of room.
+LARGEST_BUDGET: Final = 5.0
+
+
+class RetryBudget(Protocol):
+    """Decide whether a request that was not run may be retried at once."""
+
+    def earn(self) -> None:
+        """Count a success."""
+
+    def spend(self) -> bool:
+        """Return True when one retry is within the budget."""
+
+
+@attrs.define(kw_only=True)
+class ShareBudget:
+    """Allow retries as a share of successes.
+
+    When most requests are refused, retries multiply the load that caused the
+    refusals. Without successes this budget runs dry, so they can't.
+    """
+
+    share: float = RETRY_SHARE
+    tokens: float = LARGEST_BUDGET
+
+    def earn(self) -> None:
+        """Count a success."""
+        self.tokens = min(self.tokens + self.share, LARGEST_BUDGET)
+
+    def spend(self) -> bool:
+        """Return True when one retry is within the budget."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+@attrs.define(kw_only=True)
+class UnlimitedBudget:
+    """Allow every retry: the baseline of the control runs."""
+
+    def earn(self) -> None:
+        """Count nothing."""
+
+    def spend(self) -> bool:
+        """Return True always."""
+        return True
--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -1,47 +1,104 @@
 """One HTTP/2 connection to an upstream, read by one task."""
 
-import json
 from collections.abc import AsyncGenerator
 from typing import Final
 
 import attrs
-import h2.config
-import h2.connection
+import h2.errors
 import h2.events
 import h2.exceptions
 import trio
 
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
+from burdocksill.upstreams.exceptions import ConnectionSilentError
+from burdocksill.upstreams.goaway import LenientConnection
 from burdocksill.upstreams.messages import (
-    Identity,
     UpstreamAnswer,
     UpstreamRequest,
 )
 
 READ_BYTES: Final = 65536
-IDENTITY_PATH: Final = '/.well-known/burdocksill/identity'
 TIMEOUT_HEADER: Final = 'burdocksill-timeout-ms'
 FLOW_HEADER: Final = 'burdocksill-flow'
 HTTP_OK: Final = 200
+HTTP_UNAVAILABLE: Final = 503
+PING_BYTES: Final = 8
+DEFAULT_RETRY_SECONDS: Final = 1.0
 
 
 @attrs.define(kw_only=True)
 class Exchange:
-    """Hold what has arrived of one answer."""
+    """Hold what has arrived of one answer.
+
+    `written` turns True when the first byte of the request goes to the
+    stream: until then the upstream cannot have seen it, so it was not run.
+    """
 
     done: trio.Event = attrs.field(factory=trio.Event)
+    written: bool = False
     status: int = 0
     content_type: str = ''
     etag: str = ''
+    retry_after: str = ''
     body: bytearray = attrs.field(factory=bytearray)
     failure: RequestFailedError | None = None
 
     def fail(self, verdict: Verdict, reason: Reason) -> None:
         """End the exchange without a whole answer."""
-        self.failure = RequestFailedError(verdict=verdict, reason=reason)
+        self.end(RequestFailedError(verdict=verdict, reason=reason))
+
+    def end(self, failure: RequestFailedError) -> None:
+        """End the exchange by an error."""
+        self.failure = failure
         self.done.set()
 
+    def lose(self, *, silent: bool) -> None:
+        """End the exchange because its connection is gone."""
+        if self.written and silent:
+            self.end(
+                ConnectionSilentError(
+                    verdict=Verdict.MAY_HAVE_RUN,
+                    reason=Reason.UPSTREAM_LOST,
+                ),
+            )
+        elif self.written:
+            self.fail(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
+        else:
+            self.fail(Verdict.NOT_RUN, Reason.UPSTREAM_DOWN)
+
+    def whole(self) -> UpstreamAnswer:
+        """Return the answer, or raise what ended the exchange."""
+        if self.failure is not None:
+            raise self.failure
+        if self.status == HTTP_UNAVAILABLE:
+            raise self.unavailable()
+        return UpstreamAnswer(
+            status=self.status,
+            payload=bytes(self.body),
+            content_type=self.content_type,
+            etag=self.etag,
+        )
+
+    def unavailable(self) -> RequestFailedError:
+        """Read a 503: only with Retry-After does it say "not run".
+
+        Without it the service itself may have failed half-way.
+        """
+        if not self.retry_after:
+            return RequestFailedError(
+                verdict=Verdict.MAY_HAVE_RUN,
+                reason=Reason.UPSTREAM_SHED,
+            )
+        seconds = DEFAULT_RETRY_SECONDS
+        if self.retry_after.isdecimal():
+            seconds = float(self.retry_after)
+        return RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.UPSTREAM_SHED,
+            retry_after_seconds=seconds,
+        )
+
 
 @attrs.define(kw_only=True)
 class UpstreamConnection:
@@ -49,56 +106,110 @@
 
     stream: trio.abc.Stream
     authority: str
-    state: h2.connection.H2Connection = attrs.field(init=False)
+    state: LenientConnection = attrs.field(init=False)
     exchanges: dict[int, Exchange] = attrs.field(factory=dict)
-    sending: trio.Lock = attrs.field(factory=trio.Lock)
+    queued: trio.Event = attrs.field(factory=trio.Event)
     window_opened: trio.Event = attrs.field(factory=trio.Event)
-    closed: bool = False
+    heard: trio.Event = attrs.field(factory=trio.Event)
+    # Set when no new request may use the connection any more.
+    retired: trio.Event = attrs.field(factory=trio.Event)
+    # Set when the connection is of no use to any request.
+    ended: trio.Event = attrs.field(factory=trio.Event)
+    went_away: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """Prepare the protocol's state."""
-        config = h2.config.H2Configuration(client_side=True)
-        self.state = h2.connection.H2Connection(config=config)
-
-    async def start(self) -> None:
-        """Send the connection preface."""
+        """Prepare the protocol's state and its preface."""
+        self.state = LenientConnection(client_side=True)
         self.state.initiate_connection()
-        await self.flush()
+        self.flush()
 
-    async def flush(self) -> None:
-        """Send what the protocol has queued, in order."""
-        async with self.sending:
-            pending = self.state.data_to_send()
-            if pending:
-                await self.stream.send_all(pending)
+    @property
+    def closed(self) -> bool:
+        """Return True when no new request may use the connection."""
+        return self.retired.is_set()
+
+    def flush(self) -> None:
+        """Let the writer send what the protocol has queued."""
+        self.queued.set()
 
     async def run(self) -> None:
-        """Read events until the connection ends, then fail what is open."""
+        """Read and write until the connection ends, then fail what is open."""
         try:
-            while True:
-                received = await self.stream.receive_some(READ_BYTES)
-                if not received:
-                    break
-                for event in self.state.receive_data(bytes(received)):
-                    self.take(event)
-                await self.flush()
-        except (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            h2.exceptions.ProtocolError,
-        ):
-            # The peer or this VM ended the stream; the answers still open
-            # are settled below, so nothing more is to be done here.
-            pass
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.write)
+                await self.read()
+                nursery.cancel_scope.cancel()
         finally:
             self.close()
 
-    def close(self) -> None:
-        """Fail every open exchange: its request was sent and may have run."""
-        self.closed = True
+    async def write(self) -> None:
+        """Send what is queued, in order.
+
+        Only this task sends: a request's deadline that cancels a send would
+        leave half a frame behind and so break every other request.
+        """
+        while not self.ended.is_set():
+            await self.queued.wait()
+            self.queued = trio.Event()
+            pending = self.state.data_to_send()
+            # From here on the upstream may have seen each request whose
+            # headers are queued, even if the send fails half-way.
+            for exchange in self.exchanges.values():
+                exchange.written = True
+            try:
+                await self.stream.send_all(pending)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.close()
+
+    async def read(self) -> None:
+        """Apply events until the connection ends."""
+        while not (self.went_away and not self.exchanges):
+            try:
+                events = await self.receive_events()
+            except (
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+                h2.exceptions.ProtocolError,
+            ):
+                # The peer or this VM ended the stream; the answers still
+                # open are settled by whoever called.
+                return
+            if not events:
+                return
+            for event in events:
+                self.take(event)
+            self.flush()
+
+    async def receive_events(self) -> list[h2.events.Event]:
+        """Return the events of the next bytes, none at the end."""
+        while True:
+            received = await self.stream.receive_some(READ_BYTES)
+            if not received:
+                return []
+            self.hear()
+            events = self.state.receive_data(bytes(received))
+            if events:
+                return events
+
+    def hear(self) -> None:
+        """Tell whoever watches that the upstream has sent something."""
+        self.heard.set()
+        self.heard = trio.Event()
+
+    async def probe(self) -> None:
+        """Send a PING and wait until anything arrives."""
+        heard = self.heard
+        self.state.ping(bytes(PING_BYTES))
+        self.flush()
+        await heard.wait()
+
+    def close(self, *, silent: bool = False) -> None:
+        """Fail every open exchange with what its request may have done."""
         for exchange in self.exchanges.values():
-            exchange.fail(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
+            exchange.lose(silent=silent)
         self.exchanges.clear()
+        self.retired.set()
+        self.ended.set()
         self.window_opened.set()
 
     def take(self, event: h2.events.Event) -> None:
@@ -130,6 +241,7 @@
         exchange.status = int(headers.get(':status', 0))
         exchange.content_type = headers.get('content-type', '')
         exchange.etag = headers.get('etag', '')
+        exchange.retry_after = headers.get('retry-after', '')
 
     def take_data(self, event: h2.events.DataReceived) -> None:
         """Append a part of an answer and open the window again."""
@@ -156,12 +268,16 @@
             exchange.fail(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
 
     def take_goaway(self, event: h2.events.ConnectionTerminated) -> None:
-        """Settle the streams above the last one that the upstream took."""
+        """Settle the streams above the last one that the upstream took.
+
+        Those at or below it go on: the upstream promised to finish them.
+        """
         last = event.last_stream_id or 0
         for stream_id in [known for known in self.exchanges if known > last]:
             exchange = self.exchanges.pop(stream_id)
             exchange.fail(Verdict.NOT_RUN, Reason.UPSTREAM_LEAVING)
-        self.closed = True
+        self.went_away = True
+        self.retired.set()
 
     async def exchange(self, request: UpstreamRequest) -> UpstreamAnswer:
         """Send a request and wait for its whole answer."""
@@ -176,26 +292,21 @@
         try:
             await self.send_request(stream_id, request)
             await exchange.done.wait()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            exchange.fail(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_LOST)
+        except h2.exceptions.ProtocolError:
+            # The upstream allows no more streams, or the connection ended:
+            # the protocol's state refused the headers, so nothing was sent.
+            self.exchanges.pop(stream_id, None)
+            exchange.lose(silent=False)
         finally:
-            await self.abandon(stream_id)
-        if exchange.failure is not None:
-            raise exchange.failure
-        return UpstreamAnswer(
-            status=exchange.status,
-            payload=bytes(exchange.body),
-            content_type=exchange.content_type,
-            etag=exchange.etag,
-        )
+            self.abandon(stream_id)
+        return exchange.whole()
 
-    async def abandon(self, stream_id: int) -> None:
+    def abandon(self, stream_id: int) -> None:
         """Tell the upstream that nobody waits for a stream any more."""
-        if self.exchanges.pop(stream_id, None) is None or self.closed:
+        if self.exchanges.pop(stream_id, None) is None:
             return
         self.state.reset_stream(stream_id, h2.errors.ErrorCodes.CANCEL)
-        with trio.CancelScope(shield=True), trio.move_on_after(1):
-            await self.flush()
+        self.flush()
 
     async def send_request(
         self,
@@ -205,12 +316,12 @@
         """Send the headers and the body as the window allows."""
         self.state.send_headers(
             stream_id,
-            self.headers(request),
+            headers(request, self.authority),
             end_stream=not request.payload,
         )
-        await self.flush()
+        self.flush()
         rest = request.payload
-        while rest:
+        while rest and stream_id in self.exchanges:
             size = min(
                 self.state.local_flow_control_window(stream_id),
                 self.state.max_outbound_frame_size,
@@ -221,24 +332,7 @@
                 continue
             chunk, rest = rest[:size], rest[size:]
             self.state.send_data(stream_id, chunk, end_stream=not rest)
-            await self.flush()
-
-    def headers(self, request: UpstreamRequest) -> list[tuple[str, str]]:
-        """Write a request's headers."""
-        headers = [
-            (':method', request.method),
-            (':scheme', 'http'),
-            (':authority', self.authority),
-            (':path', request.path),
-        ]
-        if request.content_type:
-            headers.append(('content-type', request.content_type))
-        if request.timeout_seconds > 0:
-            left = int(request.timeout_seconds * 1000)
-            headers.append((TIMEOUT_HEADER, str(left)))
-        if request.flow:
-            headers.append((FLOW_HEADER, request.flow))
-        return headers
+            self.flush()
 
     async def feed(
         self,
@@ -249,20 +343,23 @@
         for line in answer.payload.splitlines():
             yield line
 
-    async def identify(self) -> Identity:
-        """Ask the upstream who it is."""
-        answer = await self.exchange(
-            UpstreamRequest(method='GET', path=IDENTITY_PATH),
-        )
-        if answer.status != HTTP_OK:
-            raise RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=Reason.UPSTREAM_DOWN,
-                message=f'{IDENTITY_PATH} answered {answer.status}',
-            )
-        told = json.loads(answer.payload)
-        return Identity(
-            service=told['service'],
-            upstream=told['upstream'],
-            instance=told['instance'],
-        )
+
+def headers(
+    request: UpstreamRequest,
+    authority: str,
+) -> list[tuple[str, str]]:
+    """Write a request's headers."""
+    headers = [
+        (':method', request.method),
+        (':scheme', 'http'),
+        (':authority', authority),
+        (':path', request.path),
+    ]
+    if request.content_type:
+        headers.append(('content-type', request.content_type))
+    if request.timeout_seconds > 0:
+        left = int(request.timeout_seconds * 1000)
+        headers.append((TIMEOUT_HEADER, str(left)))
+    if request.flow:
+        headers.append((FLOW_HEADER, request.flow))
+    return headers
--- a/burdocksill/upstreams/limits.py
+++ b/burdocksill/upstreams/limits.py
@@ -1,23 +1,261 @@
-"""Count an upstream's work against its slots."""
+"""Count an upstream's work against what it can bear."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
+import logging
+import math
+from collections import deque
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Final
 
 import attrs
+import trio
 
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
+from burdocksill.upstreams.backlog import Backlog
+from burdocksill.upstreams.exceptions import ConnectionSilentError
+from burdocksill.upstreams.latency import Latency
+from burdocksill.upstreams.ramp import Ramp
+
+# The queue is short: a request waits at most for a few rounds of the slots.
+QUEUE_ROUNDS: Final = 4
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Waiter:
+    """Wait in the queue for a slot."""
+
+    give_up_at: float
+    decided: trio.Event = attrs.field(factory=trio.Event)
+    granted: bool = False
+
+
+@attrs.define(kw_only=True)
+class AdaptiveLimiter:
+    """Admit what the owner has measured the upstream to bear.
+
+    The limit never exceeds the document's slots. Work on a connection that
+    fell silent counts until its deadline: the upstream was not told that
+    nobody waits, so it may still be busy with it.
+    """
+
+    name: str
+    ramp: Ramp
+    backlog: Backlog
+    latency: Latency = attrs.field(factory=Latency)
+    busy: int = 0
+    waiting: deque[Waiter] = attrs.field(factory=deque)
+    # Deadlines of the work that was given up on without telling anyone.
+    orphans: list[float] = attrs.field(factory=list)
+    silent_until: float = -math.inf
+    shed_until: float = -math.inf
+
+    @property
+    def cold(self) -> bool:
+        """Return True while the upstream may not have all its slots."""
+        return self.ramp.cold
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once now."""
+        return self.ramp.limit
+
+    @property
+    def free(self) -> int:
+        """Return how many requests would be admitted without a wait."""
+        now = trio.current_time()
+        if now < max(self.silent_until, self.shed_until):
+            return 0
+        return max(0, self.ramp.limit - self.occupied())
+
+    def occupied(self) -> int:
+        """Return the work that the upstream may be busy with."""
+        now = trio.current_time()
+        self.orphans = [until for until in self.orphans if until > now]
+        return self.busy + len(self.orphans)
+
+    @asynccontextmanager
+    async def slot(self, *, deadline: float) -> AsyncGenerator[None, None]:
+        """Hold one slot, or raise RequestFailedError (not run)."""
+        await self.acquire(deadline)
+        started = trio.current_time()
+        try:
+            yield
+        except ConnectionSilentError:
+            self.orphans.append(deadline)
+            raise
+        except RequestFailedError as failure:
+            self.take_failure(failure, trio.current_time() - started)
+            raise
+        else:
+            self.take_success(trio.current_time() - started)
+        finally:
+            self.busy -= 1
+            self.admit_waiting()
+
+    async def acquire(self, deadline: float) -> None:
+        """Take a slot now, queue for one, or refuse at once."""
+        now = trio.current_time()
+        if now < self.silent_until:
+            raise self.refusal(Reason.UPSTREAM_COLD, self.silent_until - now)
+        if now < self.shed_until:
+            raise self.refusal(Reason.UPSTREAM_SHED, self.shed_until - now)
+        if not self.waiting and self.occupied() < self.ramp.limit:
+            self.busy += 1
+            return
+        give_up_at = deadline - self.latency.fast
+        full = len(self.waiting) >= QUEUE_ROUNDS * self.ramp.limit
+        if full or now + self.expected_wait(len(self.waiting)) > give_up_at:
+            raise self.refusal(Reason.OVERLOADED)
+        await self.queue(Waiter(give_up_at=give_up_at))
+
+    async def queue(self, waiter: Waiter) -> None:
+        """Wait for a slot until it would come too late."""
+        self.waiting.append(waiter)
+        try:
+            while not waiter.decided.is_set():
+                with trio.move_on_at(self.next_change(waiter)):
+                    await waiter.decided.wait()
+                self.admit_waiting()
+        except BaseException:
+            # The caller cancelled; a slot granted meanwhile goes on.
+            if waiter.granted:
+                self.busy -= 1
+            elif waiter in self.waiting:
+                self.waiting.remove(waiter)
+            self.admit_waiting()
+            raise
+        if not waiter.granted:
+            raise self.refusal(Reason.OVERLOADED)
+
+    def next_change(self, waiter: Waiter) -> float:
+        """Return when a waiter's turn can change without any event."""
+        return min([waiter.give_up_at, *self.orphans])
+
+    def admit_waiting(self) -> None:
+        """Hand free slots to the queue and refuse whose turn is too late."""
+        self.drop_hopeless()
+        while self.waiting and self.occupied() < self.ramp.limit:
+            waiter = self.waiting.popleft()
+            waiter.granted = trio.current_time() < waiter.give_up_at
+            self.busy += int(waiter.granted)
+            waiter.decided.set()
+
+    def drop_hopeless(self) -> None:
+        """Refuse at once the waiters that a lower limit makes too late."""
+        now = trio.current_time()
+        kept: deque[Waiter] = deque()
+        if now < max(self.silent_until, self.shed_until):
+            # They can be retried elsewhere; here they would only wait.
+            for waiter in self.waiting:
+                waiter.decided.set()
+            self.waiting = kept
+            return
+        for waiter in self.waiting:
+            if now + self.expected_wait(len(kept)) < waiter.give_up_at:
+                kept.append(waiter)
+            else:
+                waiter.decided.set()
+        self.waiting = kept
+
+    def expected_wait(self, ahead: int) -> float:
+        """Return how long a request behind others waits for its slot."""
+        now = trio.current_time()
+        orphaned = sorted(until for until in self.orphans if until > now)
+        usable = self.ramp.limit - len(orphaned)
+        if usable <= 0:
+            # The first slot comes free when the upstream's own deadline ends
+            # the work that nobody waits for.
+            until = orphaned[-usable] if -usable < len(orphaned) else now
+            return until - now + ahead * self.latency.fast
+        return (ahead + 1) * self.latency.fast / usable
+
+    def take_success(self, seconds: float) -> None:
+        """Learn from a whole answer."""
+        now = trio.current_time()
+        if self.latency.add(seconds):
+            self.start_cold(cause='latency-jump')
+        elif self.ramp.succeed(now):
+            logger.info(
+                'limit grew',
+                extra={'upstream': self.name, 'limit': self.ramp.limit},
+            )
+
+    def take_failure(self, failure: RequestFailedError, seconds: float) -> None:
+        """Learn from a request that failed."""
+        if failure.reason is Reason.UPSTREAM_SHED:
+            now = trio.current_time()
+            self.ramp.shed(now)
+            self.shed_until = max(
+                self.shed_until,
+                now + failure.retry_after_seconds,
+            )
+        if failure.reason is Reason.DEADLINE_PASSED:
+            self.latency.add(seconds)
+
+    def start_cold(self, *, cause: str, silence_seconds: float = 0) -> None:
+        """Go back to the cold limit, after a silence where one is needed."""
+        now = trio.current_time()
+        self.silent_until = max(self.silent_until, now + silence_seconds)
+        self.ramp.start(now, fallen=cause == 'connection-lost')
+        self.drop_hopeless()
+        logger.info(
+            'cold start',
+            extra={'upstream': self.name, 'cause': cause},
+        )
+
+    def resume(self, limit: int) -> None:
+        """Go on from the limit that the owner before handed over."""
+        self.ramp.limit = max(1, min(limit, self.ramp.slots))
+        self.ramp.begin_step(trio.current_time())
+
+    def forget_orphans(self) -> None:
+        """Drop orphaned work: a new instance runs none of it."""
+        self.orphans.clear()
+        self.admit_waiting()
+
+    def take_report(self, bearable: int) -> None:
+        """Take what the upstream says it can bear at once."""
+        self.ramp.take_report(bearable, trio.current_time())
+        self.drop_hopeless()
+
+    def refusal(self, reason: Reason, least: float = 0) -> RequestFailedError:
+        """Write a refusal with its time to come back."""
+        seconds = self.backlog.seconds(
+            trio.current_time(),
+            rate=self.ramp.limit / self.latency.fast,
+            least=least,
+        )
+        return RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=reason,
+            retry_after_seconds=seconds,
+        )
 
 
 @attrs.define(kw_only=True)
-class SlotLimiter:
-    """Admit at most the document's slots at once."""
+class FixedLimiter:
+    """Admit all slots from the start: the baseline of the control runs."""
 
     slots: int
     busy: int = 0
+    cold: bool = False
 
-    @contextmanager
-    def slot(self, *, deadline: float) -> Iterator[None]:
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once now."""
+        return self.slots
+
+    @property
+    def free(self) -> int:
+        """Return how many requests would be admitted without a wait."""
+        return max(0, self.slots - self.busy)
+
+    @asynccontextmanager
+    async def slot(self, *, deadline: float) -> AsyncGenerator[None, None]:
         """Hold one slot, or refuse at once."""
         if self.busy >= self.slots:
             raise RequestFailedError(
@@ -29,3 +267,30 @@
             yield
         finally:
             self.busy -= 1
+
+    def start_cold(self, *, cause: str, silence_seconds: float = 0) -> None:
+        """Take no notice of a cold start."""
+
+    def resume(self, limit: int) -> None:
+        """Take no notice of a handed-over limit."""
+
+    def forget_orphans(self) -> None:
+        """Have no orphaned work."""
+
+    def take_report(self, bearable: int) -> None:
+        """Take no notice of reports."""
+
+
+def make_limiter(
+    *,
+    name: str,
+    slots: int,
+    cold_limit: int,
+    rng: Random,
+) -> AdaptiveLimiter:
+    """Make the limiter of one upstream, cold."""
+    return AdaptiveLimiter(
+        name=name,
+        ramp=Ramp(slots=slots, cold_limit=cold_limit),
+        backlog=Backlog(rng=rng),
+    )
--- a/burdocksill/upstreams/messages.py
+++ b/burdocksill/upstreams/messages.py
@@ -38,6 +38,7 @@
     slots: int
     cold: bool = False
     leaving: bool = False
+    flows: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/burdocksill/upstreams/protocols.py
+++ b/burdocksill/upstreams/protocols.py
@@ -1,7 +1,7 @@
 """What can be replaced around an upstream."""
 
 from collections.abc import AsyncGenerator
-from contextlib import AbstractContextManager
+from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 from burdocksill.documents.models import Upstream
@@ -16,6 +16,14 @@
 class UpstreamClient(Protocol):
     """Carry requests to one upstream."""
 
+    @property
+    def connected(self) -> bool:
+        """Return True while there is a verified connection."""
+
+    @property
+    def leaving(self) -> bool:
+        """Return True when the upstream itself says that it leaves."""
+
     async def run(self) -> None:
         """Keep a verified connection until cancelled."""
 
@@ -38,8 +46,35 @@
 class Limiter(Protocol):
     """Count the work of one upstream against what it can bear."""
 
-    def slot(self, *, deadline: float) -> AbstractContextManager[None]:
-        """Hold one slot, or raise RequestFailedError (not run) at once."""
+    @property
+    def cold(self) -> bool:
+        """Return True while the upstream may not have all its slots."""
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once now."""
+
+    @property
+    def free(self) -> int:
+        """Return how many requests would be admitted without a wait."""
+
+    def slot(self, *, deadline: float) -> AbstractAsyncContextManager[None]:
+        """Hold one slot, or raise RequestFailedError (not run).
+
+        The limiter learns from the error that leaves the block, or from none.
+        """
+
+    def start_cold(self, *, cause: str, silence_seconds: float = 0) -> None:
+        """Go back to the cold limit, after a silence where one is needed."""
+
+    def resume(self, limit: int) -> None:
+        """Go on from the limit that the owner before handed over."""
+
+    def forget_orphans(self) -> None:
+        """Drop orphaned work: a new instance runs none of it."""
+
+    def take_report(self, bearable: int) -> None:
+        """Take what the upstream says it can bear at once."""
 
 
 class HintSource(Protocol):
