--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,5 +1,6 @@
 """Decide for each caller's datagram which VM serves it."""
 
+import math
 from typing import Final
 
 import attrs
@@ -143,7 +144,12 @@
             upstream=placement.upstream.name,
         )
 
-    def move(self, envelope: Envelope, upstream: str) -> bool:
+    def move(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        below: float = math.inf,
+    ) -> bool:
         """Open a flow at another upstream; return False without one.
 
         The hops name the upstreams that were tried, and their number ends a
@@ -153,7 +159,11 @@
         if document is None or len(envelope.hops) >= LONGEST_PATH:
             return False
         hops = (*envelope.hops, upstream)
-        placement = self.placer.place(document, avoid=frozenset(hops))
+        placement = self.placer.place(
+            document,
+            avoid=frozenset(hops),
+            below=below,
+        )
         if placement is None:
             return False
         self.go(attrs.evolve(envelope, hops=hops), placement)
--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -1,5 +1,6 @@
 """Choose the upstream of a new flow."""
 
+import math
 from random import Random
 from typing import Final, Protocol
 
@@ -34,8 +35,12 @@
         document: ServiceDocument,
         *,
         avoid: frozenset[str] = NOTHING_AVOIDED,
+        below: float = math.inf,
     ) -> Placement | None:
-        """Return a choice outside the upstreams to avoid, None without one."""
+        """Return a choice outside the upstreams to avoid, None without one.
+
+        With `below`, only an upstream known to have less load will do.
+        """
 
 
 @attrs.frozen(kw_only=True)
@@ -43,7 +48,9 @@
     """Hold an upstream that could be chosen and its load as far as known."""
 
     placement: Placement
-    load: float = 0
+    load: float
+    # False when no fresh hint tells the load, which then counts as none.
+    known: bool
 
 
 @attrs.define(kw_only=True)
@@ -65,10 +72,15 @@
         document: ServiceDocument,
         *,
         avoid: frozenset[str] = NOTHING_AVOIDED,
+        below: float = math.inf,
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one."""
         self.hints.refresh_own()
-        found = self.candidates(document, avoid)
+        found = [
+            one
+            for one in self.candidates(document, avoid)
+            if one.load < below and (one.known or math.isinf(below))
+        ]
         home = self.members.itself.domain
         near = self.choose(
             [one for one in found if one.placement.upstream.domain == home],
@@ -110,6 +122,7 @@
             candidate = Candidate(
                 placement=Placement(upstream=upstream, owner=owner),
                 load=self.load(held, upstream),
+                known=held is not None,
             )
             usable.append(candidate)
             if has_room(held):
@@ -138,8 +151,11 @@
         document: ServiceDocument,
         *,
         avoid: frozenset[str] = NOTHING_AVOIDED,
+        below: float = math.inf,
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one."""
+        if math.isfinite(below):
+            return None
         usable = [
             upstream
             for upstream in document.upstreams
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -1,8 +1,9 @@
 """One upstream that this VM owns, and the requests that it dispatches."""
 
+import math
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Final, Protocol
 
 import attrs
 import trio
@@ -40,6 +41,21 @@
 )
 BUDGETED_MOVES: Final = frozenset((Reason.UPSTREAM_SHED, Reason.OVERLOADED))
 
+# A flow is moved for balance only to an upstream with this share of the load.
+REBALANCE_FACTOR: Final = 0.75
+
+
+class Elsewhere(Protocol):
+    """Open a flow at another upstream than the one named."""
+
+    def __call__(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        below: float = math.inf,
+    ) -> bool:
+        """Return False when there is none, or none with less load."""
+
 
 @attrs.define(kw_only=True)
 class OwnedUpstream:
@@ -61,8 +77,7 @@
     leaving_rule: LeavingRule
     members: MemberView
     budget: RetryBudget
-    # Opens the flow at another upstream than the one named, if it can.
-    elsewhere: Callable[[Envelope, str], bool]
+    elsewhere: Elsewhere
     flows: FlowBook = attrs.field(
         factory=lambda: FlowBook(lifetime_seconds=COOKIE_LIFETIME_SECONDS),
     )
@@ -175,6 +190,12 @@
             self.counters.add('duplicates_answered')
             self.finish(envelope, claim.answer)
             return
+        if self.rebalances(envelope):
+            # Settled in the same step: no copy can be dispatched any more.
+            self.window.settle(key, self.overloaded())
+            self.flows.close(cookie.flow_id)
+            self.counters.add('flows_moved', reason='rebalanced')
+            return
         answer = await self.attempt(envelope, cookie)
         self.window.settle(key, answer)
         if self.moves(answer) and self.elsewhere(envelope, self.upstream.name):
@@ -185,6 +206,29 @@
             return
         self.finish(envelope, answer)
 
+    def rebalances(self, envelope: Envelope) -> bool:
+        """Open a flow elsewhere whose request would have to wait here.
+
+        Flows last for hours: without this an upstream that comes back stays
+        idle beside those that took its flows. The budget keeps it slow.
+        """
+        if self.limiter.free or not self.budget.affords():
+            return False
+        flows = self.flows.count(trio.current_time())
+        below = flows / self.limiter.limit * REBALANCE_FACTOR
+        if not self.elsewhere(envelope, self.upstream.name, below):
+            return False
+        return self.budget.spend()
+
+    def overloaded(self) -> Answer:
+        """Return the refusal of a request that would wait too long."""
+        return refusal(
+            RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.OVERLOADED,
+            ),
+        )
+
     def moves(self, answer: Answer) -> bool:
         """Return True when a request is better sent elsewhere at once."""
         if answer.verdict is Verdict.RAN:
--- a/burdocksill/requests/retries.py
+++ b/burdocksill/requests/retries.py
@@ -16,6 +16,9 @@
     def earn(self) -> None:
         """Count a success."""
 
+    def affords(self) -> bool:
+        """Return True when one retry would be within the budget."""
+
     def spend(self) -> bool:
         """Return True when one retry is within the budget."""
 
@@ -35,9 +38,13 @@
         """Count a success."""
         self.tokens = min(self.tokens + self.share, LARGEST_BUDGET)
 
+    def affords(self) -> bool:
+        """Return True when one retry would be within the budget."""
+        return self.tokens >= 1
+
     def spend(self) -> bool:
         """Return True when one retry is within the budget."""
-        if self.tokens < 1:
+        if not self.affords():
             return False
         self.tokens -= 1
         return True
@@ -50,6 +57,10 @@
     def earn(self) -> None:
         """Count nothing."""
 
+    def affords(self) -> bool:
+        """Return True always."""
+        return True
+
     def spend(self) -> bool:
         """Return True always."""
         return True
