--- a/burdocksill/callers/session.py
+++ b/burdocksill/callers/session.py
@@ -75,7 +75,9 @@
                 answer = await self.attempt(
                     self.new_request(method, path, payload, timeout_seconds),
                 )
-                if answer.cookie:
+                if answer.cookie or answer.reason is not None:
+                    # A refusal without a cookie says that the one we hold
+                    # leads nowhere any more: the next request starts afresh.
                     self.cookie = answer.cookie
                 if answer.code != UNAUTHORIZED or not answer.cookie:
                     return settle(answer)
--- a/burdocksill/documents/models.py
+++ b/burdocksill/documents/models.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdocksill.documents.exceptions import DocumentInvalidError
+from burdocksill.flows.cookie import name_tag
 from burdocksill.network.protocols import Address
 
 DEFAULT_DEADLINE_SECONDS: Final = 10.0
@@ -52,6 +53,13 @@
                 return candidate
         return None
 
+    def tagged(self, tag: bytes) -> Upstream | None:
+        """Return an upstream by the tag that cookies carry."""
+        for candidate in self.upstreams:
+            if name_tag(candidate.name) == tag:
+                return candidate
+        return None
+
     @property
     def domains(self) -> frozenset[str]:
         """Return the failure domains in which the service runs."""
--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -5,12 +5,21 @@
 import attrs
 
 from burdocksill.documents.store import HighestRevisionRule, RevisionRule
+from burdocksill.membership.protocols import MemberView
+from burdocksill.ownership.fence import PauseFence
+from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
+from burdocksill.ownership.protocols import Fence
 from burdocksill.requests.window import RequestWindow, TokenWindow
 from burdocksill.upstreams.client import NameVerifier
 from burdocksill.upstreams.limits import SlotLimiter
 from burdocksill.upstreams.protocols import IdentityVerifier, Limiter
 
 
+def pause_fence(members: MemberView) -> Fence:
+    """Make the fence of a node."""
+    return PauseFence(members=members)
+
+
 def slot_limiter(slots: int) -> Limiter:
     """Make the limiter of an upstream."""
     return SlotLimiter(slots=slots)
@@ -27,4 +36,6 @@
     window: Callable[[], RequestWindow] = TokenWindow
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
+    foreign: Callable[[], ForeignRule] = HonestForeignRule
+    fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[int], Limiter] = slot_limiter
--- a/burdocksill/entry/main.py
+++ b/burdocksill/entry/main.py
@@ -74,6 +74,8 @@
             await node.serving.wait()
             logger.info('serving', extra={'listen': str(settings.listen)})
             async for _ in signals:
-                nursery.cancel_scope.cancel()
+                logger.info('stopping')
+                await node.stop()
                 break
+            nursery.cancel_scope.cancel()
     logger.info('stopped')
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -1,5 +1,6 @@
 """Compose one entry VM from its slices."""
 
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -12,13 +13,25 @@
 from burdocksill.documents.store import DocumentStore
 from burdocksill.entry.guards import Guards
 from burdocksill.entry.router import Router
-from burdocksill.flows.cookie import SignedCookieSealer
+from burdocksill.flows.cookie import EPOCH_BYTES, SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
 from burdocksill.flows.placement import RandomPlacer
 from burdocksill.membership.listed import ListedMembership
 from burdocksill.network.protocols import Network, WallClock
 from burdocksill.observe.counters import Counters
+from burdocksill.ownership.cookies import CookieIssuer
+from burdocksill.ownership.epochs import EpochHolder
+from burdocksill.ownership.exchange import HandoverExchange
+from burdocksill.ownership.messages import (
+    HandoverAck,
+    HandoverNone,
+    HandoverPart,
+    HandoverRequest,
+    HandoverSettled,
+    HandoverSettledAck,
+)
 from burdocksill.ownership.owned import OwnedUpstream
+from burdocksill.ownership.protocols import Fence
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import EnvelopeSealer
@@ -27,7 +40,9 @@
 from burdocksill.requests.dispatch import DeadlineDispatcher
 from burdocksill.upstreams.client import VerifiedClient
 
-RECONCILE_SECONDS: Final = 0.5
+# A planned stop takes at most this long, whatever becomes of the heirs.
+STOP_SECONDS: Final = 30.0
+LINGER_SECONDS: Final = 2.0
 
 
 @attrs.define(kw_only=True)
@@ -46,7 +61,9 @@
     membership: ListedMembership = attrs.field(init=False)
     owners: OwnerTable = attrs.field(init=False)
     router: Router = attrs.field(init=False)
+    fence: Fence = attrs.field(init=False)
     serving: trio.Event = attrs.field(factory=trio.Event)
+    stopped: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
@@ -69,19 +86,23 @@
             await self.membership.refresh()
             nursery.start_soon(self.membership.run)
             await self.start_serving(nursery)
-            while True:
-                self.owners.reconcile()
-                await trio.sleep(RECONCILE_SECONDS)
+            await self.stopped.wait()
+            nursery.cancel_scope.cancel()
+
+    async def stop(self) -> None:
+        """Stop without cutting a request: leave, hand over, drain, linger.
+
+        The fabric and other VMs send packets here until they have heard of
+        the leave; lingering passes these on to the heirs.
+        """
+        with trio.move_on_after(STOP_SECONDS):
+            await self.membership.leave()
+            await self.owners.stop()
+            await trio.sleep(LINGER_SECONDS)
+        self.stopped.set()
 
     async def start_serving(self, nursery: trio.Nursery) -> None:
         """Open the sockets and start one task for each."""
-        self.owners = OwnerTable(
-            members=self.membership,
-            store=self.store,
-            rng=self.rng,
-            nursery=nursery,
-            build=self.build_owned,
-        )
         channel = PeerChannel(
             socket=await self.network.open_datagrams(self.settings.peer),
             sealer=EnvelopeSealer(
@@ -91,6 +112,16 @@
             ),
             counters=self.counters,
         )
+        self.owners = OwnerTable(
+            members=self.membership,
+            store=self.store,
+            rng=self.rng,
+            nursery=nursery,
+            build=self.build_owned,
+            peers=channel,
+            make_window=self.guards.window,
+        )
+
         self.router = Router(
             members=self.membership,
             store=self.store,
@@ -103,22 +134,44 @@
             owners=self.owners,
             channel=channel,
             socket=await self.network.open_datagrams(self.settings.listen),
+            clock=self.clock,
+            foreign=self.guards.foreign(),
             counters=self.counters,
             nursery=nursery,
         )
-        channel.handlers[RelayRequest] = self.router.take_relayed
-        self.owners.reconcile()
+        self.fence = self.guards.fence(self.membership)
+        self.route_messages(channel)
+        nursery.start_soon(self.fence.run)
+        nursery.start_soon(self.owners.run)
         nursery.start_soon(channel.run)
         nursery.start_soon(self.router.run)
         self.serving.set()
 
+    def route_messages(self, channel: PeerChannel) -> None:
+        """Name the handler of each kind of message from other VMs."""
+        exchange = HandoverExchange(table=self.owners)
+        channel.handlers.update(
+            {
+                RelayRequest: self.router.take_relayed,
+                HandoverRequest: exchange.take_request,
+                HandoverNone: exchange.take_none,
+                HandoverPart: exchange.take_part,
+                HandoverAck: exchange.take_ack,
+                HandoverSettled: exchange.take_settled,
+                HandoverSettledAck: exchange.take_settled_ack,
+            },
+        )
+
     def build_owned(
         self,
         document: ServiceDocument,
         upstream: Upstream,
-        epoch: bytes,
     ) -> OwnedUpstream:
         """Make what this VM holds for an upstream it owns."""
+        epochs = EpochHolder(
+            make_window=self.guards.window,
+            make_epoch=partial(self.rng.randbytes, EPOCH_BYTES),
+        )
         client = VerifiedClient(
             service=document.service,
             upstream=upstream,
@@ -128,17 +181,24 @@
         return OwnedUpstream(
             document=document,
             upstream=upstream,
-            owner=self.settings.member,
-            epoch=epoch,
-            sealer=self.router.sealer,
+            epochs=epochs,
+            cookies=CookieIssuer(
+                service=document.service,
+                upstream=upstream.name,
+                owner=self.settings.member,
+                epochs=epochs,
+                sealer=self.router.sealer,
+                clock=self.clock,
+            ),
             clock=self.clock,
             rng=self.rng,
-            window=self.guards.window(),
             client=client,
             dispatcher=DeadlineDispatcher(
                 limiter=self.guards.limiter(upstream.slots),
                 client=client,
             ),
             counters=self.counters,
-            reply=self.router.reply,
+            fence=self.fence,
+            foreign=self.guards.foreign(),
+            link=self.router,
         )
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,17 +1,25 @@
 """Decide for each caller's datagram which VM serves it."""
 
+from typing import Final
+
 import attrs
 import trio
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.flows.cookie import Cookie, CookieSealer, name_tag
+from burdocksill.flows.cookie import Cookie, CookieAge, CookieSealer, name_tag
 from burdocksill.flows.exceptions import CookieInvalidError
 from burdocksill.flows.placement import Placer
-from burdocksill.membership.protocols import MemberView
-from burdocksill.network.protocols import Address, Datagram, DatagramSocket
+from burdocksill.membership.protocols import Member, MemberView
+from burdocksill.network.protocols import (
+    Address,
+    Datagram,
+    DatagramSocket,
+    WallClock,
+)
 from burdocksill.observe.counters import Counters
+from burdocksill.ownership.foreign import ForeignRule
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import Opened
@@ -25,6 +33,9 @@
 from burdocksill.requests.refusals import refusal
 from burdocksill.requests.verdict import Reason, Verdict
 
+# Relay, former owner, heir and one more; a longer way is a loop.
+HOP_LIMIT: Final = 4
+
 
 @attrs.define(kw_only=True)
 class Router:
@@ -37,6 +48,8 @@
     owners: OwnerTable
     channel: PeerChannel
     socket: DatagramSocket
+    clock: WallClock
+    foreign: ForeignRule
     counters: Counters
     nursery: trio.Nursery
 
@@ -80,7 +93,7 @@
             raw=message.raw,
         )
         if message.upstream:
-            self.open_flow(envelope, message.upstream)
+            self.enter(envelope, message.upstream)
         else:
             self.route(envelope)
 
@@ -103,19 +116,11 @@
                 reason=Reason.SERVICE_UNKNOWN,
                 message=f'no service is named {service!r}',
             )
-        if not envelope.request.cookie:
-            self.place(envelope, document)
-            return
-        try:
-            cookie = self.sealer.open(
-                service=service,
-                sealed=envelope.request.cookie,
-            )
-        except CookieInvalidError:
-            self.counters.add('cookies_refused')
+        cookie = self.open_cookie(envelope)
+        if cookie is None:
             self.place(envelope, document)
-            return
-        self.follow(envelope, cookie)
+        else:
+            self.follow(envelope, cookie)
 
     def place(self, envelope: Envelope, document: ServiceDocument) -> None:
         """Choose an upstream for a new flow and go to its owner."""
@@ -126,7 +131,7 @@
                 reason=Reason.NO_UPSTREAM,
             )
         if placement.owner == self.members.itself:
-            self.open_flow(envelope, placement.upstream.name)
+            self.enter(envelope, placement.upstream.name)
             return
         self.relay(
             envelope,
@@ -135,27 +140,67 @@
         )
 
     def follow(self, envelope: Envelope, cookie: Cookie) -> None:
-        """Go to the owner that the cookie names."""
-        if cookie.owner_tag != self.members.itself.tag:
-            owner = self.members.find(cookie.owner_tag)
-            if owner is None:
-                raise RequestFailedError(
-                    verdict=Verdict.MAY_HAVE_RUN,
-                    reason=Reason.OWNER_LOST,
-                )
+        """Go to whoever holds the cookie's epoch, as far as can be known."""
+        service = envelope.request.service
+        held = self.owners.find(service, cookie.upstream_tag, cookie.epoch)
+        if held is not None and held.epochs.find(cookie.epoch) is not None:
+            self.nursery.start_soon(held.serve, envelope, cookie)
+            return
+        holder = self.members.find(cookie.owner_tag)
+        if holder is not None and self.can_visit(holder, envelope):
+            self.relay(envelope, holder.peer_address)
+            return
+        self.follow_to_owner(envelope, cookie)
+
+    def follow_to_owner(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Go to the upstream's owner of today: it may be the heir."""
+        document = self.store.services[envelope.request.service]
+        upstream = document.tagged(cookie.upstream_tag)
+        owner = self.placer.owner(document.service, upstream)
+        if owner is not None and owner.tag == self.members.itself.tag:
+            owned = self.owners.find(document.service, cookie.upstream_tag)
+            if owned is not None:
+                self.nursery.start_soon(owned.serve, envelope, cookie)
+                return
+        elif owner is not None and self.can_visit(owner, envelope):
             self.relay(envelope, owner.peer_address)
             return
-        owned = self.owners.find(envelope.request.service, cookie.upstream_tag)
-        if owned is None or owned.epoch != cookie.epoch:
-            raise RequestFailedError(
-                verdict=Verdict.MAY_HAVE_RUN,
-                reason=Reason.EPOCH_CLOSED,
-            )
-        self.nursery.start_soon(owned.serve, envelope, cookie)
+        self.follow_elsewhere(envelope, cookie, document)
 
-    def open_flow(self, envelope: Envelope, upstream: str) -> None:
-        """Open a flow at an upstream that this VM owns."""
-        owned = self.owners.find(envelope.request.service, name_tag(upstream))
+    def follow_elsewhere(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        document: ServiceDocument,
+    ) -> None:
+        """Place a flow anew when nobody owns its upstream any more.
+
+        Whoever held its epoch may have run the request, so only one that may
+        run twice goes elsewhere.
+        """
+        forgotten = cookie.age(self.clock.now()) is CookieAge.FORGOTTEN
+        if forgotten or self.foreign.may_run(envelope.request):
+            self.place(envelope, document)
+            return
+        raise RequestFailedError(
+            verdict=self.foreign.verdict(),
+            reason=Reason.OWNER_LOST,
+            message='the owner that knew this request is gone',
+        )
+
+    def can_visit(self, member: Member, envelope: Envelope) -> bool:
+        """Return True for another VM that has not seen the packet yet.
+
+        Two VMs that take each other for the owner would pass a packet back
+        and forth; its hops show it, and none goes round twice.
+        """
+        visited = member.name in envelope.hops
+        return not visited and len(envelope.hops) < HOP_LIMIT
+
+    def enter(self, envelope: Envelope, upstream: str) -> None:
+        """Take a flow that was placed at an upstream owned here."""
+        service = envelope.request.service
+        owned = self.owners.find(service, name_tag(upstream))
         if owned is None:
             failure = RequestFailedError(
                 verdict=Verdict.NOT_RUN,
@@ -163,7 +208,28 @@
             )
             self.reply(envelope, refusal(failure))
             return
-        owned.open_flow(envelope)
+        cookie = self.open_cookie(envelope)
+        if cookie is None and owned.ready.is_set():
+            owned.open_flow(envelope)
+        else:
+            self.nursery.start_soon(owned.enter, envelope, cookie)
+
+    def open_cookie(self, envelope: Envelope) -> Cookie | None:
+        """Return a request's cookie, None when it has none of ours."""
+        if not envelope.request.cookie:
+            return None
+        try:
+            return self.sealer.open(
+                service=envelope.request.service,
+                sealed=envelope.request.cookie,
+            )
+        except CookieInvalidError:
+            self.counters.add('cookies_refused')
+            return None
+
+    def reachable(self, member: Member) -> bool:
+        """Return True for a member that packets can be relayed to."""
+        return self.members.find(member.tag) is not None
 
     def relay(
         self,
--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -32,6 +32,9 @@
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one."""
 
+    def owner(self, service: str, upstream: Upstream | None) -> Member | None:
+        """Return the live member that owns an upstream."""
+
 
 @attrs.define(kw_only=True)
 class RandomPlacer:
@@ -67,7 +70,9 @@
         """Return True for an upstream that may get new flows."""
         return not upstream.draining and not self.store.is_out(upstream.domain)
 
-    def owner(self, service: str, upstream: Upstream) -> Member | None:
+    def owner(self, service: str, upstream: Upstream | None) -> Member | None:
         """Return the live member that owns an upstream."""
+        if upstream is None:
+            return None
         members = self.members.live(upstream.domain)
         return owner_of(members, f'{service}/{upstream.name}')
--- a/burdocksill/membership/listed.py
+++ b/burdocksill/membership/listed.py
@@ -1,19 +1,26 @@
 """Membership by the platform's lagging list alone: the first baseline."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import attrs
 import trio
 
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.membership.protocols import Member
+from burdocksill.membership.protocols import Member, MemberState
 from burdocksill.network.protocols import Address
 from burdocksill.platform.protocols import Platform, VmRecord, VmState
 
 POLL_SECONDS: Final = 1.0
 ENTRY_ROLE: Final = 'entry'
+STATES: Final[Mapping[VmState, MemberState]] = MappingProxyType(
+    {
+        VmState.LIVE: MemberState.ALIVE,
+        VmState.LEAVING: MemberState.LEAVING,
+    }
+)
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +32,7 @@
     itself: Member
     platform: Platform
     members: dict[bytes, Member] = attrs.field(factory=dict)
+    left: dict[bytes, Member] = attrs.field(factory=dict)
     listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
     def live(self, domain: str) -> tuple[Member, ...]:
@@ -36,9 +44,16 @@
         ]
         return tuple(sorted(found, key=lambda member: member.name))
 
+    def leaving(self, domain: str) -> tuple[Member, ...]:
+        """Return the members that announced their leave to this VM."""
+        found = [
+            member for member in self.left.values() if member.domain == domain
+        ]
+        return tuple(sorted(found, key=lambda member: member.name))
+
     def find(self, tag: bytes) -> Member | None:
         """Return a listed member by its tag."""
-        return self.members.get(tag)
+        return self.members.get(tag) or self.left.get(tag)
 
     def quorate(self) -> bool:
         """Return True: the list cannot tell."""
@@ -48,6 +63,9 @@
         """Call a listener after every change of members."""
         self.listeners.append(listener)
 
+    async def leave(self) -> None:
+        """Wait for nothing: the platform itself lists who leaves."""
+
     async def run(self) -> None:
         """Read the list again and again."""
         while True:
@@ -72,6 +90,11 @@
         fresh = {member.tag: member for member in (*listed, self.itself)}
         known = self.members
         self.members = fresh
+        self.left = {
+            member.tag: member
+            for member in map(member_of, records)
+            if member.state is MemberState.LEAVING
+        }
         if fresh.keys() != known.keys():
             logger.info('members', extra={'count': len(fresh)})
             for listener in self.listeners:
@@ -84,4 +107,5 @@
         name=record.name,
         domain=record.domain,
         peer_address=Address(record.host, record.peer_port),
+        state=STATES[record.state],
     )
--- a/burdocksill/membership/protocols.py
+++ b/burdocksill/membership/protocols.py
@@ -48,6 +48,9 @@
         Alive and suspect ones count; leaving and dead ones do not.
         """
 
+    def leaving(self, domain: str) -> tuple[Member, ...]:
+        """Return the members that are handing over before they stop."""
+
     def find(self, tag: bytes) -> Member | None:
         """Return a member that packets can be relayed to, leaving included."""
 
--- /dev/null
+++ b/burdocksill/ownership/exchange.py
@@ -0,0 +1,166 @@
+"""Messages of handovers, taken and answered for all upstreams of this VM."""
+
+import attrs
+import trio
+
+from burdocksill.flows.cookie import name_tag
+from burdocksill.membership.protocols import Member
+from burdocksill.network.protocols import Address
+from burdocksill.ownership.epochs import EpochTable
+from burdocksill.ownership.handover import HandoverReceiver
+from burdocksill.ownership.messages import (
+    HandoverAck,
+    HandoverNone,
+    HandoverPart,
+    HandoverRequest,
+    HandoverSettled,
+    HandoverSettledAck,
+)
+from burdocksill.ownership.owned import OwnedUpstream, Tenure
+from burdocksill.ownership.table import OwnedKey, OwnerTable
+from burdocksill.peers.envelope import Opened
+from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.refusals import refusal
+from burdocksill.requests.verdict import Reason, Verdict
+from burdocksill.requests.window import RequestKey
+
+
+def key_of(service: str, upstream: str) -> OwnedKey:
+    """Return the key of an upstream that a message names."""
+    return OwnedKey(service=service, upstream_tag=name_tag(upstream))
+
+
+@attrs.define(kw_only=True)
+class HandoverExchange:
+    """Answer the messages of handovers on behalf of the owner table."""
+
+    table: OwnerTable
+    receivers: dict[bytes, HandoverReceiver] = attrs.field(factory=dict)
+
+    def take_request(self, opened: Opened, peer: Address) -> None:
+        """Hand over to the member that says it is the owner now."""
+        request = opened.message
+        if not isinstance(request, HandoverRequest):
+            return
+        key = key_of(request.service, request.upstream)
+        owned = self.table.owned.get(key)
+        heir = self.table.members.find(opened.sender_tag)
+        if heir is None or self.is_handing_over(key, heir):
+            return
+        if owned is None:
+            none = HandoverNone(
+                service=request.service,
+                upstream=request.upstream,
+            )
+            self.table.peers.send(none, peer)
+        elif key not in self.table.wanted():
+            self.table.release(key)
+        # Where both believe that they own it, this VM keeps silent until
+        # their views of the members agree; the other asks again.
+
+    def is_handing_over(self, key: OwnedKey, heir: Member) -> bool:
+        """Return True while a transfer to the heir is under way."""
+        return any(
+            sender.heir.tag == heir.tag
+            and sender.owned.document.service == key.service
+            and name_tag(sender.owned.upstream.name) == key.upstream_tag
+            for sender in self.table.senders
+        )
+
+    def take_none(self, opened: Opened, peer: Address) -> None:
+        """Serve at once: the former owner holds nothing."""
+        message = opened.message
+        if not isinstance(message, HandoverNone):
+            return
+        owned = self.table.find(message.service, name_tag(message.upstream))
+        if owned is not None and owned.tenure is Tenure.TAKING:
+            owned.start()
+
+    def take_part(self, opened: Opened, peer: Address) -> None:
+        """Gather a part; with the last one its epochs are held here."""
+        part = opened.message
+        if not isinstance(part, HandoverPart):
+            return
+        receiver = self.receivers.get(part.transfer)
+        if receiver is None:
+            receiver = HandoverReceiver(make_window=self.table.make_window)
+            self.receivers[part.transfer] = receiver
+        tables = receiver.take(part)
+        self.table.peers.send(
+            HandoverAck(transfer=part.transfer, part=part.part),
+            peer,
+        )
+        if tables is not None:
+            self.inherit(part, tables)
+
+    def inherit(
+        self,
+        part: HandoverPart,
+        tables: tuple[EpochTable, ...],
+    ) -> None:
+        """Hold the epochs of a transfer, as owner or as future owner."""
+        key = key_of(part.service, part.upstream)
+        owned = self.table.owned.get(key)
+        if owned is None:
+            self.table.inherited.setdefault(key, []).extend(tables)
+            return
+        for table in tables:
+            owned.epochs.inherit(table)
+        if owned.tenure is Tenure.TAKING:
+            owned.start()
+        self.table.nursery.start_soon(self.settle_lost, owned, tables)
+
+    async def settle_lost(
+        self,
+        owned: OwnedUpstream,
+        tables: tuple[EpochTable, ...],
+    ) -> None:
+        """Settle inherited requests whose former owner never told the end."""
+        await trio.sleep(owned.document.deadline_seconds + 1)
+        failure = RequestFailedError(
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.OWNER_LOST,
+        )
+        now = trio.current_time()
+        for table in tables:
+            for key, entry in table.window.entries():
+                if entry.elsewhere and entry.answer is None:
+                    table.window.settle(key, refusal(failure), now=now)
+
+    def take_ack(self, opened: Opened, peer: Address) -> None:
+        """Pass an acknowledgement to its transfer."""
+        ack = opened.message
+        if not isinstance(ack, HandoverAck):
+            return
+        for sender in self.table.senders:
+            if sender.transfer == ack.transfer:
+                sender.take_ack(ack)
+
+    def take_settled(self, opened: Opened, peer: Address) -> None:
+        """Remember the answer of a request that ran at the former owner."""
+        message = opened.message
+        if not isinstance(message, HandoverSettled):
+            return
+        entry = message.entry
+        owned = self.table.find(
+            message.service,
+            name_tag(message.upstream),
+            entry.epoch,
+        )
+        table = owned.epochs.find(entry.epoch) if owned else None
+        if table is None or entry.answer is None:
+            return
+        key = RequestKey(entry.key)
+        table.window.settle(key, entry.answer, now=trio.current_time())
+        self.table.peers.send(
+            HandoverSettledAck(epoch=entry.epoch, key=entry.key),
+            peer,
+        )
+
+    def take_settled_ack(self, opened: Opened, peer: Address) -> None:
+        """Pass the acknowledgement of a late answer to its transfer."""
+        ack = opened.message
+        if not isinstance(ack, HandoverSettledAck):
+            return
+        for sender in self.table.senders:
+            sender.take_settled_ack(ack.key)
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -1,7 +1,9 @@
 """One upstream that this VM owns, and the requests that it dispatches."""
 
+import enum
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
 import attrs
 import trio
@@ -9,83 +11,181 @@
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.flows.cookie import (
     COOKIE_LIFETIME_SECONDS,
-    EXCHANGE_LIFETIME_SECONDS,
     FLOW_ID_BYTES,
     Cookie,
     CookieAge,
-    CookieSealer,
-    address_tag,
-    name_tag,
 )
 from burdocksill.membership.protocols import Member
-from burdocksill.network.protocols import Address, WallClock
+from burdocksill.network.protocols import WallClock
 from burdocksill.observe.counters import Counters
+from burdocksill.ownership.cookies import CookieIssuer
+from burdocksill.ownership.epochs import EpochHolder, EpochTable
+from burdocksill.ownership.foreign import ForeignRule
+from burdocksill.ownership.progress import InProgress
+from burdocksill.ownership.protocols import CallerLink, Fence
 from burdocksill.requests.dispatch import Dispatcher
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.messages import Answer, Envelope
 from burdocksill.requests.refusals import refusal
 from burdocksill.requests.verdict import Reason, Verdict
-from burdocksill.requests.window import ClaimState, RequestKey, RequestWindow
+from burdocksill.requests.window import (
+    Claim,
+    ClaimState,
+    RequestKey,
+    request_digest,
+    request_key,
+)
 from burdocksill.upstreams.protocols import UpstreamClient
 
+# A new owner waits this long for what the former one hands over.
+READY_SECONDS: Final = 4.0
+# Requests that wait for the heir's acknowledgement; more are repeated by
+# their callers.
+WAITING_LIMIT: Final = 1000
+
+
+class Tenure(enum.StrEnum):
+    """Name the phases of owning an upstream."""
+
+    TAKING = 'taking'
+    SERVING = 'serving'
+    HANDING_OVER = 'handing-over'
+    HANDED_OVER = 'handed-over'
+    # The heir did not acknowledge; it may hold the epochs all the same.
+    HEIR_LOST = 'heir-lost'
+    # Nobody took over: the epochs are sealed and stay here.
+    RETIRED = 'retired'
+
 
 @attrs.define(kw_only=True)
 class OwnedUpstream:
-    """Hold an upstream's epoch and everything that is counted for it."""
+    """Hold an upstream's epochs and everything that is counted for it."""
 
     document: ServiceDocument
     upstream: Upstream
-    owner: Member
-    epoch: bytes
-    sealer: CookieSealer
+    epochs: EpochHolder
+    cookies: CookieIssuer
     clock: WallClock
     rng: Random
-    window: RequestWindow
     client: UpstreamClient
     dispatcher: Dispatcher
+    fence: Fence
+    foreign: ForeignRule
     counters: Counters
-    reply: Callable[[Envelope, Answer], None]
+    link: CallerLink
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    tenure: Tenure = Tenure.TAKING
+    ready: trio.Event = attrs.field(factory=trio.Event)
+    heir: Member | None = None
+    waiting: list[Envelope] = attrs.field(factory=list)
+    progress: InProgress = attrs.field(factory=InProgress)
+    # Called with epoch, key and answer of each request that ends here.
+    on_settled: Callable[[bytes, RequestKey, Answer], None] | None = None
 
     async def run(self) -> None:
         """Keep the connection until the upstream is released."""
         with self.scope:
             await self.client.run()
 
+    def start(self) -> None:
+        """Open a fresh epoch and serve."""
+        self.epochs.open()
+        self.tenure = Tenure.SERVING
+        self.ready.set()
+
+    async def enter(self, envelope: Envelope, cookie: Cookie | None) -> None:
+        """Take a flow that was placed here, new or from a lost owner."""
+        with trio.move_on_after(READY_SECONDS):
+            await self.ready.wait()
+        if cookie is None:
+            self.open_flow(envelope)
+        else:
+            await self.serve_foreign(envelope, cookie)
+
     def open_flow(self, envelope: Envelope) -> None:
         """Give a new flow its cookie: nothing was dispatched."""
+        if self.heir is not None:
+            self.pass_on(envelope, upstream=self.upstream.name)
+            return
+        self.offer_cookie(
+            envelope,
+            self.rng.randbytes(FLOW_ID_BYTES),
+            Reason.COOKIE_NEEDED,
+        )
+
+    def offer_cookie(
+        self,
+        envelope: Envelope,
+        flow_id: bytes,
+        reason: Reason,
+    ) -> None:
+        """Ask the caller to send its request with a cookie of this epoch."""
         failure = RequestFailedError(
             verdict=Verdict.NOT_RUN,
-            reason=Reason.COOKIE_NEEDED,
+            reason=reason,
             retry_after_seconds=COOKIE_LIFETIME_SECONDS,
         )
-        flow_id = self.rng.randbytes(FLOW_ID_BYTES)
-        cookie = self.cookie(flow_id, envelope.caller)
         self.counters.add('flows_opened', service=self.document.service)
+        cookie = self.cookies.issue(flow_id, envelope.caller)
         self.finish(envelope, refusal(failure, cookie=cookie))
 
-    def cookie(self, flow_id: bytes, caller: Address) -> bytes:
-        """Seal a cookie of this epoch for a flow."""
-        cookie = Cookie(
-            upstream_tag=name_tag(self.upstream.name),
-            owner_tag=self.owner.tag,
-            epoch=self.epoch,
-            flow_id=flow_id,
-            issued=int(self.clock.now()),
-            address_tag=address_tag(caller),
-        )
-        return self.sealer.seal(service=self.document.service, cookie=cookie)
-
     async def serve(self, envelope: Envelope, cookie: Cookie) -> None:
-        """Dispatch a request of this epoch once and answer every copy."""
-        key = RequestKey(
-            flow_id=cookie.flow_id,
-            token=envelope.request.token,
-        )
-        until = (
-            cookie.issued + COOKIE_LIFETIME_SECONDS + EXCHANGE_LIFETIME_SECONDS
-        )
-        claim = self.window.claim(key, until=until)
+        """Answer a request whose cookie names this upstream."""
+        with trio.move_on_after(READY_SECONDS):
+            await self.ready.wait()
+        table = self.epochs.find(cookie.epoch)
+        if table is None:
+            await self.serve_foreign(envelope, cookie)
+        else:
+            await self.serve_held(envelope, cookie, table)
+
+    async def serve_held(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        table: EpochTable,
+    ) -> None:
+        """Dispatch a request of an epoch held here once, answer every copy."""
+        key = request_key(cookie.flow_id, envelope.request.token)
+        claim = self.claim(envelope, table, key)
+        if claim.state is not ClaimState.FRESH:
+            self.answer_copy(envelope, claim)
+            return
+        if self.heir is not None:
+            self.pass_on(envelope)
+            return
+        if table.sealed:
+            self.refuse_sealed(envelope, cookie)
+            return
+        with self.progress.one():
+            answer = await self.attempt(envelope, cookie)
+        self.settle(table, key, answer)
+        self.finish(envelope, answer)
+
+    def claim(
+        self,
+        envelope: Envelope,
+        table: EpochTable,
+        key: RequestKey,
+    ) -> Claim:
+        """Claim a request, or only look at it where nothing is dispatched."""
+        now = trio.current_time()
+        self.epochs.seal_when_full(now)
+        digest = request_digest(envelope.request)
+        if table.sealed or self.heir is not None:
+            return table.window.find(key, digest)
+        return table.window.claim(key, digest, now=now)
+
+    def settle(
+        self, table: EpochTable, key: RequestKey, answer: Answer
+    ) -> None:
+        """Remember a final answer, also at the heir."""
+        table.window.settle(key, answer, now=trio.current_time())
+        if self.on_settled is not None:
+            self.on_settled(table.epoch, key, answer)
+
+    def answer_copy(self, envelope: Envelope, claim: Claim) -> None:
+        """Answer a copy of a request as its first one was answered."""
         if claim.state is ClaimState.RUNNING:
             # The answer goes out when the first copy is done.
             self.counters.add('duplicates_running')
@@ -94,28 +194,129 @@
             self.counters.add('duplicates_answered')
             self.finish(envelope, claim.answer)
             return
-        answer = await self.attempt(envelope, cookie)
-        self.window.settle(key, answer)
-        self.finish(envelope, answer)
+        failure = RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.TOKEN_REUSED,
+            message='this token stands for another request; use a new one',
+        )
+        self.finish(envelope, refusal(failure))
+
+    def refuse_sealed(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Say "not run" under an epoch that never dispatches again."""
+        full = self.epochs.current is None and self.epochs.full
+        failure = RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.WINDOW_FULL if full else Reason.EPOCH_CLOSED,
+        )
+        fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
+        self.finish(envelope, refusal(failure, cookie=fresh))
+
+    async def serve_foreign(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Serve a request of an epoch that this VM does not hold.
+
+        Its holder may have run it, so only a request that may run twice runs
+        here; any other is told so at once, with a cookie for new requests.
+        """
+        if self.heir is not None:
+            self.pass_on(envelope)
+            return
+        current = self.epochs.current
+        age = cookie.age(self.clock.now())
+        if age is CookieAge.FORGOTTEN:
+            self.offer_cookie(envelope, cookie.flow_id, Reason.COOKIE_EXPIRED)
+        elif current is not None and self.foreign.may_run(envelope.request):
+            self.counters.add('requests_adopted')
+            adopted = attrs.evolve(
+                cookie,
+                epoch=current.epoch,
+                issued=int(self.clock.now()),
+            )
+            await self.serve_held(envelope, adopted, current)
+        else:
+            failure = RequestFailedError(
+                verdict=self.foreign.verdict(),
+                reason=Reason.EPOCH_CLOSED,
+                message='the owner that knew this request is gone',
+            )
+            fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
+            self.finish(envelope, refusal(failure, cookie=fresh))
 
     async def attempt(self, envelope: Envelope, cookie: Cookie) -> Answer:
         """Dispatch one request, or say why not and when to come back."""
-        fresh = self.cookie(cookie.flow_id, envelope.caller)
+        fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
         try:
-            if cookie.age(self.clock.now()) is not CookieAge.VALID:
-                raise RequestFailedError(
-                    verdict=Verdict.NOT_RUN,
-                    reason=Reason.COOKIE_EXPIRED,
-                )
-            answer = await self.dispatcher.dispatch(
-                envelope.request,
-                flow_id=cookie.flow_id,
-                longest_seconds=self.document.deadline_seconds,
-            )
+            answer = await self.dispatch(envelope, cookie)
         except RequestFailedError as failure:
+            if failure.reason is Reason.OWNER_FENCED:
+                # Another VM may own the upstream by now: start afresh.
+                fresh = b''
             return refusal(failure, cookie=fresh)
         return attrs.evolve(answer, cookie=fresh)
 
+    async def dispatch(self, envelope: Envelope, cookie: Cookie) -> Answer:
+        """Run a claimed request, unless its cookie or this VM forbids it."""
+        if cookie.age(self.clock.now()) is not CookieAge.VALID:
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.COOKIE_EXPIRED,
+            )
+        self.fence.check()
+        return await self.dispatcher.dispatch(
+            envelope.request,
+            flow_id=cookie.flow_id,
+            longest_seconds=self.document.deadline_seconds,
+        )
+
+    def pass_on(self, envelope: Envelope, *, upstream: str = '') -> None:
+        """Send a request to the heir, or keep it until the heir can take it."""
+        if self.heir is None:
+            return
+        known = self.link.reachable(self.heir)
+        if self.tenure is Tenure.HEIR_LOST or not known:
+            # The lost heir may hold the epochs and may have run the request.
+            failure = RequestFailedError(
+                verdict=self.foreign.verdict(),
+                reason=Reason.OWNER_LOST,
+            )
+            self.finish(envelope, refusal(failure))
+        elif self.tenure is Tenure.HANDED_OVER or upstream:
+            self.link.relay(
+                envelope,
+                self.heir.peer_address,
+                upstream=upstream,
+            )
+        elif len(self.waiting) < WAITING_LIMIT:
+            self.waiting.append(envelope)
+
+    def hand_over_to(self, heir: Member) -> None:
+        """Dispatch nothing new from here on, whatever becomes of the heir."""
+        self.heir = heir
+        self.tenure = Tenure.HANDING_OVER
+        self.ready.set()
+
+    def handed_over(self, *, acknowledged: bool) -> None:
+        """Let the requests that waited go to the heir."""
+        if acknowledged:
+            self.tenure = Tenure.HANDED_OVER
+        else:
+            self.tenure = Tenure.HEIR_LOST
+        waiting = self.waiting
+        self.waiting = []
+        for envelope in waiting:
+            self.pass_on(envelope)
+
+    def retire(self) -> None:
+        """Seal every epoch: nobody takes over, and nothing runs any more."""
+        self.epochs.seal_all(trio.current_time())
+        self.tenure = Tenure.RETIRED
+        self.ready.set()
+
+    def reopen(self) -> None:
+        """Start a fresh epoch once a full window has room again."""
+        sealed = self.epochs.current is None and not self.epochs.full
+        if self.tenure is Tenure.SERVING and sealed:
+            self.epochs.open()
+
     def finish(self, envelope: Envelope, answer: Answer) -> None:
         """Count an answer and send it with the hops it took."""
         self.counters.add(
@@ -125,4 +326,4 @@
             reason=answer.reason.value if answer.reason else 'none',
         )
         hops = (*envelope.hops, self.upstream.name)
-        self.reply(envelope, attrs.evolve(answer, hops=hops))
+        self.link.reply(envelope, attrs.evolve(answer, hops=hops))
--- /dev/null
+++ b/burdocksill/ownership/progress.py
@@ -0,0 +1,36 @@
+"""Count the requests in progress, so that a stop can wait for them."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+
+@attrs.define(kw_only=True)
+class InProgress:
+    """Count what runs and wake whoever waits for the last to end."""
+
+    running: int = 0
+    idle: trio.Event = attrs.field(factory=trio.Event)
+
+    @contextmanager
+    def one(self) -> Iterator[None]:
+        """Count one request while the block runs."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self.note_idle()
+
+    def note_idle(self) -> None:
+        """Wake the waiting tasks when nothing runs any more."""
+        if self.running == 0:
+            self.idle.set()
+            self.idle = trio.Event()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self.running:
+            await self.idle.wait()
--- a/burdocksill/ownership/table.py
+++ b/burdocksill/ownership/table.py
@@ -3,16 +3,27 @@
 import logging
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
 import attrs
 import trio
 
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.documents.store import DocumentStore
-from burdocksill.flows.cookie import EPOCH_BYTES, name_tag
-from burdocksill.membership.protocols import MemberView
-from burdocksill.ownership.owned import OwnedUpstream
+from burdocksill.flows.cookie import name_tag
+from burdocksill.membership.protocols import Member, MemberView
+from burdocksill.ownership.epochs import EpochTable
+from burdocksill.ownership.handover import HandoverSender
+from burdocksill.ownership.messages import HandoverRequest
+from burdocksill.ownership.owned import OwnedUpstream, Tenure
 from burdocksill.ownership.rendezvous import owner_of
+from burdocksill.peers.sender import PeerSender
+from burdocksill.requests.window import RequestWindow
+
+# How often a new owner asks the former one for what it holds, and how long.
+ASK_SECONDS: Final = 0.2
+TAKEOVER_SECONDS: Final = 3.0
+UPKEEP_SECONDS: Final = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +36,19 @@
     upstream_tag: bytes
 
 
+@attrs.frozen(kw_only=True)
+class Wanted:
+    """Name an upstream that this VM should own now."""
+
+    document: ServiceDocument
+    upstream: Upstream
+
+
+def subject(service: str, upstream: str) -> str:
+    """Return what rendezvous hashing places among members."""
+    return f'{service}/{upstream}'
+
+
 @attrs.define(kw_only=True)
 class OwnerTable:
     """Take and release upstreams as documents and members change."""
@@ -33,67 +57,217 @@
     store: DocumentStore
     rng: Random
     nursery: trio.Nursery
-    # Makes an owned upstream with the epoch that is given.
-    build: Callable[[ServiceDocument, Upstream, bytes], OwnedUpstream]
+    peers: PeerSender
+    make_window: Callable[[], RequestWindow]
+    # Makes an owned upstream that does not serve yet.
+    build: Callable[[ServiceDocument, Upstream], OwnedUpstream]
     owned: dict[OwnedKey, OwnedUpstream] = attrs.field(factory=dict)
+    # Released upstreams still answer for their epochs or pass them on.
+    released: dict[OwnedKey, list[OwnedUpstream]] = attrs.field(factory=dict)
+    senders: list[HandoverSender] = attrs.field(factory=list)
+    # What a former owner said before this VM noticed that it is the heir.
+    inherited: dict[OwnedKey, list[EpochTable]] = attrs.field(factory=dict)
+    stopping: bool = False
 
-    def find(self, service: str, upstream_tag: bytes) -> OwnedUpstream | None:
-        """Return an upstream that this VM owns."""
+    def find(
+        self,
+        service: str,
+        upstream_tag: bytes,
+        epoch: bytes = b'',
+    ) -> OwnedUpstream | None:
+        """Return what holds an epoch here, else the owned upstream."""
         key = OwnedKey(service=service, upstream_tag=upstream_tag)
-        return self.owned.get(key)
+        owned = self.owned.get(key)
+        if owned is not None and owned.epochs.find(epoch) is not None:
+            return owned
+        for released in self.released.get(key, ()):
+            if released.epochs.find(epoch) is not None:
+                return released
+        return owned
+
+    async def run(self) -> None:
+        """Follow changes until cancelled; forget what has expired."""
+        self.members.subscribe(self.reconcile)
+        self.store.listeners.append(self.reconcile)
+        while True:
+            self.reconcile()
+            self.forget()
+            await trio.sleep(UPKEEP_SECONDS)
 
     def reconcile(self) -> None:
         """Take what has become ours and release what has not."""
+        if self.stopping:
+            return
         wanted = self.wanted()
         for key in [known for known in self.owned if known not in wanted]:
             self.release(key)
-        for key, (document, upstream) in wanted.items():
+        for key, target in wanted.items():
             held = self.owned.get(key)
-            if held is not None and held.upstream.address != upstream.address:
+            moved = target.upstream.address
+            if held is not None and held.upstream.address != moved:
                 self.release(key)
                 held = None
             if held is None:
-                self.take(key, document, upstream)
+                self.take(key, target)
             else:
-                held.document = document
-                held.upstream = upstream
+                held.document = target.document
+                held.upstream = target.upstream
 
-    def wanted(self) -> dict[OwnedKey, tuple[ServiceDocument, Upstream]]:
+    def wanted(self) -> dict[OwnedKey, Wanted]:
         """Return the upstreams for which this VM is the owner."""
         itself = self.members.itself
         live = self.members.live(itself.domain)
-        found: dict[OwnedKey, tuple[ServiceDocument, Upstream]] = {}
+        found: dict[OwnedKey, Wanted] = {}
         for document in self.store.services.values():
             for upstream in document.upstreams:
                 if upstream.domain != itself.domain:
                     continue
-                subject = f'{document.service}/{upstream.name}'
-                if owner_of(live, subject) == itself:
+                name = subject(document.service, upstream.name)
+                owner = owner_of(live, name)
+                if owner is not None and owner.tag == itself.tag:
                     key = OwnedKey(
                         service=document.service,
                         upstream_tag=name_tag(upstream.name),
                     )
-                    found[key] = (document, upstream)
+                    found[key] = Wanted(document=document, upstream=upstream)
         return found
 
-    def take(
-        self,
-        key: OwnedKey,
-        document: ServiceDocument,
-        upstream: Upstream,
-    ) -> None:
-        """Own an upstream under a fresh epoch."""
-        epoch = self.rng.randbytes(EPOCH_BYTES)
-        owned = self.build(document, upstream, epoch)
+    def take(self, key: OwnedKey, target: Wanted) -> None:
+        """Own an upstream, with what its former owner hands over."""
+        owned = self.build(target.document, target.upstream)
         self.owned[key] = owned
         self.nursery.start_soon(owned.run)
-        logger.info('owner of upstream', extra={'upstream': upstream.name})
+        self.nursery.start_soon(self.take_over, key, owned)
+
+    async def take_over(self, key: OwnedKey, owned: OwnedUpstream) -> None:
+        """Ask the former owner for its epochs, then serve under a new one.
+
+        A former owner that is alive stops dispatching when it is asked, so
+        the upstream is not loaded twice. One that does not answer in time is
+        lost: its epochs are closed, and only "may have run" can be said of
+        their requests.
+        """
+        former = self.former_owner(owned)
+        request = HandoverRequest(
+            service=owned.document.service,
+            upstream=owned.upstream.name,
+        )
+        with trio.move_on_after(TAKEOVER_SECONDS):
+            while former is not None and not owned.ready.is_set():
+                self.peers.send(request, former.peer_address)
+                with trio.move_on_after(ASK_SECONDS):
+                    await owned.ready.wait()
+        for table in self.inherited.pop(key, []):
+            owned.epochs.inherit(table)
+        if owned.tenure is Tenure.TAKING:
+            owned.start()
+        logger.info(
+            'owner of upstream',
+            extra={
+                'upstream': owned.upstream.name,
+                'epochs': len(owned.epochs.tables),
+            },
+        )
+
+    def former_owner(self, owned: OwnedUpstream) -> Member | None:
+        """Return the member that owned an upstream before this VM."""
+        itself = self.members.itself
+        others = [
+            member
+            for member in (
+                *self.members.live(itself.domain),
+                *self.members.leaving(itself.domain),
+            )
+            if member.tag != itself.tag
+        ]
+        name = subject(owned.document.service, owned.upstream.name)
+        return owner_of(others, name)
 
     def release(self, key: OwnedKey) -> None:
-        """Give an upstream up; its epoch is closed for good."""
+        """Hand an upstream over to its heir, or seal its epochs."""
         owned = self.owned.pop(key)
+        self.released.setdefault(key, []).append(owned)
+        heir = self.heir_of(owned)
+        if heir is None:
+            owned.retire()
+            self.nursery.start_soon(self.close_when_idle, owned)
+        else:
+            self.nursery.start_soon(self.hand_over, owned, heir)
+
+    def heir_of(self, owned: OwnedUpstream) -> Member | None:
+        """Return the member that owns an upstream once this VM does not."""
+        domain = owned.upstream.domain
+        document = self.store.services.get(owned.document.service)
+        current = document.upstream(owned.upstream.name) if document else None
+        if current is None or current.address != owned.upstream.address:
+            return None
+        itself = self.members.itself
+        others = [
+            member
+            for member in self.members.live(domain)
+            if member.tag != itself.tag
+        ]
+        return owner_of(others, subject(owned.document.service, current.name))
+
+    async def hand_over(self, owned: OwnedUpstream, heir: Member) -> None:
+        """Send an upstream's table to one heir and to no other, ever."""
+        if owned.heir is not None:
+            return
+        sender = HandoverSender(
+            owned=owned,
+            heir=heir,
+            peers=self.peers,
+            rng=self.rng,
+        )
+        self.senders.append(sender)
+        await sender.run()
+        self.senders.remove(sender)
         owned.scope.cancel()
         logger.info(
-            'released upstream',
-            extra={'upstream': owned.upstream.name},
+            'handed upstream over',
+            extra={
+                'upstream': owned.upstream.name,
+                'heir': heir.name,
+                'tenure': owned.tenure.value,
+            },
         )
+
+    async def close_when_idle(self, owned: OwnedUpstream) -> None:
+        """Close a released upstream's connection after its last request."""
+        await owned.progress.wait_idle()
+        owned.scope.cancel()
+
+    async def stop(self) -> None:
+        """Hand everything over and wait for the requests in progress."""
+        self.stopping = True
+        async with trio.open_nursery() as nursery:
+            for owned in self.owned.values():
+                heir = self.heir_of(owned)
+                if heir is None:
+                    owned.retire()
+                else:
+                    nursery.start_soon(self.hand_over, owned, heir)
+            for owned in self.everything():
+                nursery.start_soon(owned.progress.wait_idle)
+
+    def everything(self) -> list[OwnedUpstream]:
+        """Return owned and released upstreams."""
+        found = list(self.owned.values())
+        for released in self.released.values():
+            found.extend(released)
+        return found
+
+    def forget(self) -> None:
+        """Drop expired tokens and epochs, and what holds none any more."""
+        now = trio.current_time()
+        for owned in self.everything():
+            owned.epochs.forget(now)
+            owned.reopen()
+        for key, tables in list(self.inherited.items()):
+            self.inherited[key] = [
+                table for table in tables if not table.expired(now)
+            ]
+        for key, released in list(self.released.items()):
+            self.released[key] = [
+                upstream for upstream in released if upstream.epochs.tables
+            ]
--- a/burdocksill/peers/messages.py
+++ b/burdocksill/peers/messages.py
@@ -6,6 +6,15 @@
 
 import attrs
 
+from burdocksill.ownership.messages import (
+    HandoverAck,
+    HandoverNone,
+    HandoverPart,
+    HandoverRequest,
+    HandoverSettled,
+    HandoverSettledAck,
+)
+
 
 @attrs.frozen(kw_only=True)
 class RelayRequest:
@@ -25,5 +34,11 @@
 MESSAGE_KINDS: Final[Mapping[int, type]] = MappingProxyType(
     {
         1: RelayRequest,
+        2: HandoverRequest,
+        3: HandoverNone,
+        4: HandoverPart,
+        5: HandoverAck,
+        6: HandoverSettled,
+        7: HandoverSettledAck,
     }
 )
--- a/burdocksill/requests/refusals.py
+++ b/burdocksill/requests/refusals.py
@@ -24,6 +24,7 @@
         Reason.COOKIE_EXPIRED: 'UNAUTHORIZED',
         Reason.SERVICE_UNKNOWN: 'NOT_FOUND',
         Reason.BAD_REQUEST: 'BAD_REQUEST',
+        Reason.TOKEN_REUSED: 'BAD_REQUEST',
     }
 )
 
--- a/burdocksill/requests/verdict.py
+++ b/burdocksill/requests/verdict.py
@@ -33,3 +33,7 @@
     STOPPING = 'stopping'
     BAD_REQUEST = 'bad-request'
     ANSWER_TOO_LARGE = 'answer-too-large'
+    ANSWER_DROPPED = 'answer-dropped'
+    OWNER_FENCED = 'owner-fenced'
+    WINDOW_FULL = 'window-full'
+    TOKEN_REUSED = 'token-reused'
--- a/burdocksill/requests/window.py
+++ b/burdocksill/requests/window.py
@@ -1,27 +1,38 @@
 """The at-most-once window: every token seen under one epoch."""
 
 import enum
-from typing import Protocol
+import hashlib
+from collections import deque
+from collections.abc import Iterator
+from typing import Final, NewType, Protocol
 
 import attrs
 
-from burdocksill.requests.messages import Answer
+from burdocksill.flows.cookie import (
+    COOKIE_LIFETIME_SECONDS,
+    EXCHANGE_LIFETIME_SECONDS,
+)
+from burdocksill.requests.messages import Answer, CallerRequest
+from burdocksill.requests.verdict import Reason, Verdict
 
+# A token is remembered until no copy of its request can be awaited.
+RETENTION_SECONDS: Final = COOKIE_LIFETIME_SECONDS + EXCHANGE_LIFETIME_SECONDS
+# The answer itself is kept only while its caller may still repeat the
+# request; after that a copy is told that the request ran.
+ANSWER_RETENTION_SECONDS: Final = 60
+DIGEST_BYTES: Final = 4
 
-@attrs.frozen(kw_only=True)
-class RequestKey:
-    """Name one request of one flow; repeats of it carry the same key."""
-
-    flow_id: bytes
-    token: bytes
+RequestKey = NewType('RequestKey', bytes)
 
 
-class ClaimState(enum.Enum):
+class ClaimState(enum.StrEnum):
     """Say what the window knows of a request."""
 
     FRESH = 'fresh'
     RUNNING = 'running'
     SETTLED = 'settled'
+    # The token stands for another request already.
+    MISMATCH = 'mismatch'
 
 
 @attrs.frozen(kw_only=True)
@@ -34,65 +45,173 @@
 
 @attrs.define(kw_only=True)
 class WindowEntry:
-    """Remember one request until no copy of it can be awaited."""
+    """Remember one request; it is running until it has an answer."""
 
     until: float
+    digest: bytes
     answer: Answer | None = None
+    # It runs at the former holder of the epoch, which tells its end.
+    elsewhere: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class KeptAnswer:
+    """Name an answer and the time until which it is kept whole."""
+
+    until: float
+    key: RequestKey
 
 
 class RequestWindow(Protocol):
     """Remember requests so that none runs twice."""
 
-    def claim(self, key: RequestKey, *, until: float) -> Claim:
+    def claim(self, key: RequestKey, digest: bytes, *, now: float) -> Claim:
         """Claim a request for dispatch, or tell what became of it."""
 
-    def settle(self, key: RequestKey, answer: Answer) -> None:
+    def find(self, key: RequestKey, digest: bytes) -> Claim:
+        """Tell what is known of a request without claiming it."""
+
+    def settle(self, key: RequestKey, answer: Answer, *, now: float) -> None:
         """Keep a request's final answer, refusals included."""
 
-    def forget_before(self, now: float) -> None:
-        """Drop the entries whose cookies nobody can use any more."""
+    def forget(self, now: float) -> None:
+        """Drop what nobody can ask for any more."""
+
+    def entries(self) -> Iterator[tuple[RequestKey, WindowEntry]]:
+        """Return what is remembered, oldest first, for a handover."""
+
+    def restore(self, key: RequestKey, entry: WindowEntry) -> None:
+        """Take an entry that the former holder of the epoch remembered."""
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+
+
+def request_key(flow_id: bytes, token: bytes) -> RequestKey:
+    """Return the key that all copies of a request share."""
+    return RequestKey(flow_id + token)
+
+
+def request_digest(request: CallerRequest) -> bytes:
+    """Return a short hash that tells requests with one token apart."""
+    digest = hashlib.blake2b(request.payload, digest_size=DIGEST_BYTES)
+    digest.update(request.method.encode())
+    for part in (*request.path, *request.query):
+        digest.update(part.encode())
+        digest.update(b'\0')
+    return digest.digest()
+
+
+def without_payload(answer: Answer) -> Answer:
+    """Return what is remembered of an answer after its retention."""
+    if answer.verdict is not Verdict.RAN:
+        return answer
+    return Answer(
+        code='BAD_GATEWAY',
+        verdict=Verdict.RAN,
+        reason=Reason.ANSWER_DROPPED,
+        message='the request ran; its answer is no longer kept',
+        max_age_seconds=0,
+    )
 
 
 @attrs.define(kw_only=True)
 class TokenWindow:
-    """Keep every token for as long as its cookie can be used."""
+    """Keep every token for as long as a copy of it can be awaited.
+
+    A copy that was delayed or sprayed over another entry VM shows as a second
+    request with the same flow and token. It cannot run again, because only
+    the holder of the epoch dispatches and it claims each token here first.
+    """
 
-    entries: dict[RequestKey, WindowEntry] = attrs.field(factory=dict)
+    # Claims come in the order of time, so the oldest entries stand first.
+    known: dict[RequestKey, WindowEntry] = attrs.field(factory=dict)
+    kept: deque[KeptAnswer] = attrs.field(factory=deque)
 
-    def claim(self, key: RequestKey, *, until: float) -> Claim:
+    def claim(self, key: RequestKey, digest: bytes, *, now: float) -> Claim:
         """Claim a request for dispatch, or tell what became of it."""
-        entry = self.entries.get(key)
+        claim = self.find(key, digest)
+        if claim.state is ClaimState.FRESH:
+            until = now + RETENTION_SECONDS
+            self.known[key] = WindowEntry(until=until, digest=digest)
+        return claim
+
+    def find(self, key: RequestKey, digest: bytes) -> Claim:
+        """Tell what is known of a request without claiming it."""
+        entry = self.known.get(key)
         if entry is None:
-            self.entries[key] = WindowEntry(until=until)
             return Claim(state=ClaimState.FRESH)
+        if entry.digest != digest:
+            return Claim(state=ClaimState.MISMATCH)
         if entry.answer is None:
             return Claim(state=ClaimState.RUNNING)
         return Claim(state=ClaimState.SETTLED, answer=entry.answer)
 
-    def settle(self, key: RequestKey, answer: Answer) -> None:
+    def settle(self, key: RequestKey, answer: Answer, *, now: float) -> None:
         """Keep a request's final answer, refusals included."""
-        entry = self.entries.get(key)
-        if entry is not None:
-            entry.answer = answer
-
-    def forget_before(self, now: float) -> None:
-        """Drop the entries whose cookies nobody can use any more."""
-        for key in [
-            known for known, entry in self.entries.items() if entry.until < now
-        ]:
-            self.entries.pop(key)
+        entry = self.known.get(key)
+        if entry is None or entry.answer is not None:
+            return
+        entry.answer = answer
+        until = now + ANSWER_RETENTION_SECONDS
+        self.kept.append(KeptAnswer(until=until, key=key))
+
+    def forget(self, now: float) -> None:
+        """Drop what nobody can ask for any more."""
+        while self.kept and self.kept[0].until < now:
+            entry = self.known.get(self.kept.popleft().key)
+            if entry is not None and entry.answer is not None:
+                entry.answer = without_payload(entry.answer)
+        expired = []
+        for key, entry in self.known.items():
+            if entry.until >= now:
+                break
+            expired.append(key)
+        for old in expired:
+            self.known.pop(old)
+
+    def entries(self) -> Iterator[tuple[RequestKey, WindowEntry]]:
+        """Return what is remembered, oldest first, for a handover."""
+        return iter(self.known.items())
+
+    def restore(self, key: RequestKey, entry: WindowEntry) -> None:
+        """Take an entry that the former holder of the epoch remembered."""
+        entry.elsewhere = entry.answer is None
+        self.known[key] = entry
+        if entry.answer is not None:
+            until = entry.until - RETENTION_SECONDS + ANSWER_RETENTION_SECONDS
+            self.kept.append(KeptAnswer(until=until, key=key))
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+        return len(self.known)
 
 
 @attrs.define(kw_only=True)
 class ForgetfulWindow:
     """Remember nothing: the naive baseline of the control runs."""
 
-    def claim(self, key: RequestKey, *, until: float) -> Claim:
+    def claim(self, key: RequestKey, digest: bytes, *, now: float) -> Claim:
         """Let every copy run."""
         return Claim(state=ClaimState.FRESH)
 
-    def settle(self, key: RequestKey, answer: Answer) -> None:
+    def find(self, key: RequestKey, digest: bytes) -> Claim:
+        """Know nothing."""
+        return Claim(state=ClaimState.FRESH)
+
+    def settle(self, key: RequestKey, answer: Answer, *, now: float) -> None:
         """Keep nothing."""
 
-    def forget_before(self, now: float) -> None:
+    def forget(self, now: float) -> None:
         """Have nothing to drop."""
+
+    def entries(self) -> Iterator[tuple[RequestKey, WindowEntry]]:
+        """Return nothing."""
+        return iter(())
+
+    def restore(self, key: RequestKey, entry: WindowEntry) -> None:
+        """Keep nothing."""
+
+    def __len__(self) -> int:
+        """Return 0."""
+        return 0
--- a/burdocksill_lab/fakes/network.py
+++ b/burdocksill_lab/fakes/network.py
@@ -27,6 +27,9 @@
     copies: float = 0
     # Each datagram takes one way's delay and up to this much more.
     jitter_seconds: float = 0
+    # This share of the copies arrives this much later.
+    late: float = 0
+    late_seconds: float = 0
 
 
 @attrs.define(order=True)
@@ -302,6 +305,8 @@
             delay = ONE_WAY_SECONDS
             if self.faults.jitter_seconds:
                 delay += self.rng.uniform(0, self.faults.jitter_seconds)
+            if self.faults.late and self.rng.random() < self.faults.late:
+                delay += self.rng.uniform(0, self.faults.late_seconds)
             self.schedule(
                 trio.current_time() + delay,
                 partial(self.deliver, source, payload, target),
--- a/burdocksill_lab/fakes/world.py
+++ b/burdocksill_lab/fakes/world.py
@@ -17,7 +17,7 @@
 from burdocksill.flows.keys import encode_ring, rotate
 from burdocksill.network.protocols import Address
 from burdocksill.platform import keys
-from burdocksill.platform.protocols import VmRecord
+from burdocksill.platform.protocols import VmRecord, VmState
 from burdocksill_lab.fakes.clock import VirtualClock
 from burdocksill_lab.fakes.network import FakeHost, FakeNetwork
 from burdocksill_lab.stand_ins.store import MemoryPlatform
@@ -27,6 +27,7 @@
 PEER_PORT: Final = 5690
 ADMIN_PORT: Final = 5691
 UPSTREAM_PORT: Final = 8080
+LIST_LAG_SECONDS: Final = 2.0
 SERVICE_ADDRESS: Final = Address('192.0.2.1', CALLER_PORT)
 
 
@@ -119,12 +120,39 @@
         """Return the entry VMs that the fabric sprays packets over."""
         return self.network.sprayed.setdefault(SERVICE_ADDRESS, [])
 
+    async def stop_node(self, name: str) -> None:
+        """Stop an entry VM as SIGTERM does, the platform's list told first."""
+        running = self.nodes.pop(name)
+        settings = running.node.settings
+        self.platform.put_vm(
+            VmRecord(
+                name=name,
+                domain=settings.domain,
+                role='entry',
+                host=running.host,
+                state=VmState.LEAVING,
+                caller_port=CALLER_PORT,
+                peer_port=PEER_PORT,
+                admin_port=ADMIN_PORT,
+            ),
+        )
+        self.spray().remove(Address(running.host, CALLER_PORT))
+        await running.node.stop()
+        await running.ended.wait()
+
     def kill_node(self, name: str, *, silent: bool = True) -> None:
         """End an entry VM without a word (kill -9, or its VM's loss)."""
         running = self.nodes.pop(name)
         self.network.kill(running.host, silent=silent)
         running.scope.cancel()
         self.spray().remove(Address(running.host, CALLER_PORT))
+        self.require_nursery().start_soon(self.drop_later, name)
+
+    async def drop_later(self, name: str) -> None:
+        """Take a dead VM off the platform's list, which lags."""
+        await trio.sleep(LIST_LAG_SECONDS)
+        if name not in self.nodes:
+            self.platform.drop_vm(name)
 
     def start_upstream(
         self,
--- a/burdocksill_lab/stand_ins/store.py
+++ b/burdocksill_lab/stand_ins/store.py
@@ -41,6 +41,10 @@
         """Write one VM of the platform's list."""
         self.put(keys.VMS + record.name, msgspec.json.encode(record))
 
+    def drop_vm(self, name: str) -> None:
+        """Take one VM off the list, as the platform does some time later."""
+        self.current.pop(keys.VMS + name, None)
+
     async def read(self, key: str) -> StoredValue | None:
         """Return one value, or None when the key is absent."""
         self.reads += 1
--- a/burdocksill_lab/stand_ins/upstream.py
+++ b/burdocksill_lab/stand_ins/upstream.py
@@ -62,7 +62,7 @@
                 'instance': self.instance,
             }
             return StandInAnswer(status=200, payload=json.dumps(identity))
-        await trio.sleep(self.work_seconds)
+        # Noted before the work: whatever may have had an effect counts.
         self.ledger.append(
             LedgerEntry(
                 method=request.headers[':method'],
@@ -71,6 +71,7 @@
                 flow=request.headers.get('burdocksill-flow', ''),
             ),
         )
+        await trio.sleep(self.work_seconds)
         done = {'by': self.name, 'path': path, 'count': len(self.ledger)}
         return StandInAnswer(status=200, payload=json.dumps(done))
 
