Keep a node alive when a cancelled request meets a closed connection

Cause: abandon() resets a stream on a connection whose stream had been closed meanwhile; ClosedResourceError went up through the request's task and ended the node. Change: a stream that is gone needs no reset; the connection counts as closed. Conclusion: an error of a connection ends that connection and nothing else.

--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -195,7 +195,14 @@
             return
         self.state.reset_stream(stream_id, h2.errors.ErrorCodes.CANCEL)
         with trio.CancelScope(shield=True), trio.move_on_after(1):
+            await self.flush_if_open()
+
+    async def flush_if_open(self) -> None:
+        """Send what is queued; a stream that is gone needs no cancelling."""
+        try:
             await self.flush()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.closed = True
 
     async def send_request(
         self,
--- a/burdocksill_lab/proofs/at_most_once.py
+++ b/burdocksill_lab/proofs/at_most_once.py
@@ -32,6 +32,7 @@
 REQUESTS: Final = 12
 # Late copies of old packets still arrive after the callers have gone.
 TAIL_SECONDS: Final = 40.0
+SETTLE_SECONDS: Final = 4.0
 FAULTS: Final = LinkFaults(
     loss=0.05,
     copies=0.2,
@@ -139,6 +140,20 @@
         ]
 
 
+async def start_fleet(world: World) -> None:
+    """Start one upstream and its failure domain's entry VMs."""
+    upstream = world.start_upstream(SERVICE, UPSTREAM, DOMAIN, slots=4)
+    document = ServiceDocument(
+        service=SERVICE,
+        team='vratka',
+        upstreams=(upstream,),
+    )
+    await world.put_document(document)
+    for number in range(VMS):
+        await world.start_node(f'{DOMAIN}-entry-{number}', DOMAIN)
+    await trio.sleep(SETTLE_SECONDS)
+
+
 async def story(
     *,
     seed: int,
@@ -147,16 +162,7 @@
 ) -> dict[str, list[bytes]]:
     """Run callers through faults; return each upstream's ledger."""
     async with open_world(seed, guards=guards) as world:
-        upstream = world.start_upstream(SERVICE, UPSTREAM, DOMAIN, slots=4)
-        document = ServiceDocument(
-            service=SERVICE,
-            team='vratka',
-            upstreams=(upstream,),
-        )
-        await world.put_document(document)
-        for number in range(VMS):
-            await world.start_node(f'{DOMAIN}-entry-{number}', DOMAIN)
-        await trio.sleep(4)
+        await start_fleet(world)
         world.network.faults = FAULTS
         rng = Random(world.rng.random())
         trouble = Trouble(world=world, books=books, rng=rng)
