--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -13,6 +13,9 @@
 )
 from burdocksill.flows.placement import Placer, TwoChoicePlacer
 from burdocksill.membership.protocols import MemberView
+from burdocksill.ownership.fence import PauseFence
+from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
+from burdocksill.ownership.protocols import Fence
 from burdocksill.platform.protocols import Platform
 from burdocksill.requests.retries import RetryBudget, ShareBudget
 from burdocksill.requests.window import RequestWindow, TokenWindow
@@ -23,6 +26,11 @@
 from burdocksill.upstreams.protocols import IdentityVerifier, Limiter
 
 
+def pause_fence(members: MemberView) -> Fence:
+    """Make the fence of a node."""
+    return PauseFence(members=members)
+
+
 def adaptive_limiter(upstream: Upstream, rng: Random) -> Limiter:
     """Make the limiter of an upstream, cold."""
     return make_limiter(
@@ -64,6 +72,8 @@
     window: Callable[[], RequestWindow] = TokenWindow
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
+    foreign: Callable[[], ForeignRule] = HonestForeignRule
+    fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[Upstream, Random], Limiter] = adaptive_limiter
     leaving_rule: Callable[[Platform], LeavingRule] = listed_departures
     retry_budget: Callable[[], RetryBudget] = ShareBudget
--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -42,6 +42,9 @@
         With `below`, only an upstream known to have less load will do.
         """
 
+    def owner(self, service: str, upstream: Upstream | None) -> Member | None:
+        """Return the live member that owns an upstream."""
+
 
 @attrs.frozen(kw_only=True)
 class Candidate:
@@ -129,6 +132,10 @@
                 roomy.append(candidate)
         return roomy or usable
 
+    def owner(self, service: str, upstream: Upstream | None) -> Member | None:
+        """Return the live member that owns an upstream."""
+        return find_owner(self.members, service, upstream)
+
     def load(self, held: HeldHint | None, upstream: Upstream) -> float:
         """Return an upstream's flows for each request it can run at once."""
         if held is None:
@@ -172,6 +179,10 @@
                     return Placement(upstream=upstream, owner=owner)
         return None
 
+    def owner(self, service: str, upstream: Upstream | None) -> Member | None:
+        """Return the live member that owns an upstream."""
+        return find_owner(self.members, service, upstream)
+
 
 def may_get_flows(store: DocumentStore, upstream: Upstream) -> bool:
     """Return True unless the document or the operators say otherwise."""
@@ -189,8 +200,10 @@
 def find_owner(
     members: MemberView,
     service: str,
-    upstream: Upstream,
+    upstream: Upstream | None,
 ) -> Member | None:
     """Return the live member that owns an upstream."""
+    if upstream is None:
+        return None
     live = members.live(upstream.domain)
     return owner_of(live, f'{service}/{upstream.name}')
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -1,9 +1,9 @@
 """One upstream that this VM owns, and the requests that it dispatches."""
 
-import math
+import enum
 from collections.abc import Callable
 from random import Random
-from typing import Final, Protocol
+from typing import Final
 
 import attrs
 import trio
@@ -11,177 +11,207 @@
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.flows.cookie import (
     COOKIE_LIFETIME_SECONDS,
-    EXCHANGE_LIFETIME_SECONDS,
     FLOW_ID_BYTES,
     Cookie,
     CookieAge,
-    CookieSealer,
-    address_tag,
-    name_tag,
 )
-from burdocksill.membership.protocols import Member, MemberView
-from burdocksill.network.protocols import Address, WallClock
+from burdocksill.membership.protocols import Member
+from burdocksill.network.protocols import WallClock
 from burdocksill.observe.counters import Counters
+from burdocksill.ownership.cookies import CookieIssuer
+from burdocksill.ownership.epochs import EpochHolder, EpochTable
+from burdocksill.ownership.foreign import ForeignRule
+from burdocksill.ownership.progress import InProgress
+from burdocksill.ownership.protocols import CallerLink, Fence
 from burdocksill.requests.dispatch import Dispatcher
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.messages import Answer, Envelope
 from burdocksill.requests.refusals import refusal
-from burdocksill.requests.retries import RetryBudget
 from burdocksill.requests.verdict import Reason, Verdict
-from burdocksill.requests.window import ClaimState, RequestKey, RequestWindow
-from burdocksill.upstreams.departures import LeavingRule
-from burdocksill.upstreams.flows import FlowBook
-from burdocksill.upstreams.messages import UpstreamHint
-from burdocksill.upstreams.protocols import Limiter, UpstreamClient
-
-# These refusals cost no upstream anything, so sending the request elsewhere
-# adds no load; shedding and full queues do, and are held to the budget.
-FREE_MOVES: Final = frozenset(
-    (Reason.UPSTREAM_LEAVING, Reason.UPSTREAM_DOWN, Reason.UPSTREAM_COLD),
+from burdocksill.requests.window import (
+    Claim,
+    ClaimState,
+    RequestKey,
+    request_digest,
+    request_key,
 )
-BUDGETED_MOVES: Final = frozenset((Reason.UPSTREAM_SHED, Reason.OVERLOADED))
+from burdocksill.upstreams.admission import Admission
+from burdocksill.upstreams.protocols import UpstreamClient
 
-# A flow is moved for balance only to an upstream with this share of the load.
-REBALANCE_FACTOR: Final = 0.75
+# A new owner waits this long for what the former one hands over.
+READY_SECONDS: Final = 4.0
+# Requests that wait for the heir's acknowledgement; more are repeated by
+# their callers.
+WAITING_LIMIT: Final = 1000
 
+# After these a flow asks for a new place: another VM may own the upstream by
+# now, or the upstream leaves.
+START_AFRESH: Final = frozenset(
+    (Reason.OWNER_FENCED, Reason.UPSTREAM_LEAVING),
+)
+OVERLOADED: Final = refusal(
+    RequestFailedError(verdict=Verdict.NOT_RUN, reason=Reason.OVERLOADED),
+)
 
-class Elsewhere(Protocol):
-    """Open a flow at another upstream than the one named."""
 
-    def __call__(
-        self,
-        envelope: Envelope,
-        upstream: str,
-        below: float = math.inf,
-    ) -> bool:
-        """Return False when there is none, or none with less load."""
+class Tenure(enum.StrEnum):
+    """Name the phases of owning an upstream."""
+
+    TAKING = 'taking'
+    SERVING = 'serving'
+    HANDING_OVER = 'handing-over'
+    HANDED_OVER = 'handed-over'
+    # The heir did not acknowledge; it may hold the epochs all the same.
+    HEIR_LOST = 'heir-lost'
+    # Nobody took over: the epochs are sealed and stay here.
+    RETIRED = 'retired'
 
 
 @attrs.define(kw_only=True)
 class OwnedUpstream:
-    """Hold an upstream's epoch and everything that is counted for it."""
+    """Hold an upstream's epochs and everything that is counted for it."""
 
     document: ServiceDocument
     upstream: Upstream
-    owner: Member
-    epoch: bytes
-    sealer: CookieSealer
+    epochs: EpochHolder
+    cookies: CookieIssuer
     clock: WallClock
     rng: Random
-    window: RequestWindow
     client: UpstreamClient
     dispatcher: Dispatcher
+    fence: Fence
+    foreign: ForeignRule
+    admission: Admission
     counters: Counters
-    reply: Callable[[Envelope, Answer], None]
-    limiter: Limiter
-    leaving_rule: LeavingRule
-    members: MemberView
-    budget: RetryBudget
-    elsewhere: Elsewhere
-    flows: FlowBook = attrs.field(
-        factory=lambda: FlowBook(lifetime_seconds=COOKIE_LIFETIME_SECONDS),
-    )
+    link: CallerLink
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    tenure: Tenure = Tenure.TAKING
+    ready: trio.Event = attrs.field(factory=trio.Event)
+    heir: Member | None = None
+    waiting: list[Envelope] = attrs.field(factory=list)
+    progress: InProgress = attrs.field(factory=InProgress)
+    # Called with epoch, key and answer of each request that ends here.
+    on_settled: Callable[[bytes, RequestKey, Answer], None] | None = None
 
     async def run(self) -> None:
         """Keep the connection until the upstream is released."""
         with self.scope:
             await self.client.run()
 
-    @property
-    def leaving(self) -> bool:
-        """Return True when the upstream gets no new work."""
-        return self.leaving_rule.leaves(self.upstream, told=self.client.leaving)
+    def start(self) -> None:
+        """Open a fresh epoch and serve."""
+        self.epochs.open()
+        self.tenure = Tenure.SERVING
+        self.ready.set()
 
-    def hint(self) -> UpstreamHint:
-        """Return what other VMs may know of the upstream."""
-        return UpstreamHint(
-            service=self.document.service,
-            upstream=self.upstream.name,
-            free_slots=self.limiter.free,
-            slots=self.limiter.limit,
-            cold=self.limiter.cold,
-            leaving=self.leaving or not self.client.connected,
-            flows=self.flows.count(trio.current_time()),
-        )
-
-    def start_cold(self, *, silence_seconds: float) -> None:
-        """Begin cold after a silence: another VM may still be its owner."""
-        self.limiter.start_cold(
-            cause='takeover',
-            silence_seconds=silence_seconds,
-        )
+    async def enter(self, envelope: Envelope, cookie: Cookie | None) -> None:
+        """Take a flow that was placed here, new or from a lost owner."""
+        with trio.move_on_after(READY_SECONDS):
+            await self.ready.wait()
+        if cookie is None:
+            self.open_flow(envelope)
+        else:
+            await self.serve_foreign(envelope, cookie)
 
     def open_flow(self, envelope: Envelope) -> None:
-        """Give a new flow its cookie, here or elsewhere; nothing has run."""
-        reason = self.unwilling(envelope)
-        if reason is not None and self.elsewhere(envelope, self.upstream.name):
-            self.counters.add('flows_sent_elsewhere', reason=reason.value)
+        """Give a new flow its cookie: nothing was dispatched."""
+        if self.heir is not None:
+            self.pass_on(envelope, upstream=self.upstream.name)
             return
-        if reason in {Reason.UPSTREAM_LEAVING, Reason.OVERLOADED}:
-            failure = RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=reason,
-            )
+        try:
+            if self.admission.open_flow(envelope, self.upstream):
+                return
+        except RequestFailedError as failure:
             self.finish(envelope, refusal(failure))
             return
+        flow_id = self.rng.randbytes(FLOW_ID_BYTES)
+        self.admission.flows.open(flow_id, trio.current_time())
+        self.offer_cookie(envelope, flow_id, Reason.COOKIE_NEEDED)
+
+    def offer_cookie(
+        self,
+        envelope: Envelope,
+        flow_id: bytes,
+        reason: Reason,
+    ) -> None:
+        """Ask the caller to send its request with a cookie of this epoch."""
         failure = RequestFailedError(
             verdict=Verdict.NOT_RUN,
-            reason=Reason.COOKIE_NEEDED,
+            reason=reason,
             retry_after_seconds=COOKIE_LIFETIME_SECONDS,
         )
-        flow_id = self.rng.randbytes(FLOW_ID_BYTES)
-        self.flows.open(flow_id, trio.current_time())
-        cookie = self.cookie(flow_id, envelope.caller)
         self.counters.add('flows_opened', service=self.document.service)
+        cookie = self.cookies.issue(flow_id, envelope.caller)
         self.finish(envelope, refusal(failure, cookie=cookie))
 
-    def unwilling(self, envelope: Envelope) -> Reason | None:
-        """Return why a new flow had better go elsewhere, None if it may stay.
+    async def serve(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Answer a request whose cookie names this upstream."""
+        with trio.move_on_after(READY_SECONDS):
+            await self.ready.wait()
+        table = self.epochs.find(cookie.epoch)
+        if table is None:
+            await self.serve_foreign(envelope, cookie)
+        else:
+            await self.serve_held(envelope, cookie, table)
 
-        Hints are stale, so this word is the last: only the owner knows.
-        """
-        if self.leaving:
-            return Reason.UPSTREAM_LEAVING
-        if not self.flows.admits(
-            trio.current_time(),
-            connections=self.upstream.connections,
-            foreign=self.foreign(envelope),
+    async def serve_held(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        table: EpochTable,
+    ) -> None:
+        """Dispatch a request of an epoch held here once, answer every copy."""
+        key = request_key(cookie.flow_id, envelope.request.token)
+        claim = self.claim(envelope, table, key)
+        if claim.state is not ClaimState.FRESH:
+            self.answer_copy(envelope, claim)
+            return
+        if self.heir is not None:
+            self.pass_on(envelope)
+            return
+        if table.sealed:
+            self.refuse_sealed(envelope, cookie)
+            return
+        if self.admission.rebalances(envelope, cookie.flow_id, self.upstream):
+            # Settled in the same step: no copy can be dispatched any more.
+            self.settle(table, key, OVERLOADED)
+            return
+        with self.progress.one():
+            answer = await self.attempt(envelope, cookie)
+        self.settle(table, key, answer)
+        if self.admission.moves(
+            envelope,
+            cookie.flow_id,
+            self.upstream,
+            answer,
         ):
-            return Reason.OVERLOADED
-        if not self.client.connected:
-            return Reason.UPSTREAM_DOWN
-        if self.limiter.cold and not self.limiter.free:
-            return Reason.UPSTREAM_COLD
-        return None
-
-    def foreign(self, envelope: Envelope) -> bool:
-        """Return True when a VM of another failure domain placed the flow."""
-        first = self.members.find(name_tag(envelope.hops[0]))
-        return first is not None and first.domain != self.upstream.domain
-
-    def cookie(self, flow_id: bytes, caller: Address) -> bytes:
-        """Seal a cookie of this epoch for a flow."""
-        cookie = Cookie(
-            upstream_tag=name_tag(self.upstream.name),
-            owner_tag=self.owner.tag,
-            epoch=self.epoch,
-            flow_id=flow_id,
-            issued=int(self.clock.now()),
-            address_tag=address_tag(caller),
-        )
-        return self.sealer.seal(service=self.document.service, cookie=cookie)
+            return
+        self.finish(envelope, answer)
 
-    async def serve(self, envelope: Envelope, cookie: Cookie) -> None:
-        """Dispatch a request of this epoch once and answer every copy."""
-        key = RequestKey(
-            flow_id=cookie.flow_id,
-            token=envelope.request.token,
-        )
-        until = (
-            cookie.issued + COOKIE_LIFETIME_SECONDS + EXCHANGE_LIFETIME_SECONDS
-        )
-        claim = self.window.claim(key, until=until)
+    def claim(
+        self,
+        envelope: Envelope,
+        table: EpochTable,
+        key: RequestKey,
+    ) -> Claim:
+        """Claim a request, or only look at it where nothing is dispatched."""
+        now = trio.current_time()
+        self.epochs.seal_when_full(now)
+        digest = request_digest(envelope.request)
+        if table.sealed or self.heir is not None:
+            return table.window.find(key, digest)
+        return table.window.claim(key, digest, now=now)
+
+    def settle(
+        self, table: EpochTable, key: RequestKey, answer: Answer
+    ) -> None:
+        """Remember a final answer, also at the heir."""
+        table.window.settle(key, answer, now=trio.current_time())
+        if self.on_settled is not None:
+            self.on_settled(table.epoch, key, answer)
+
+    def answer_copy(self, envelope: Envelope, claim: Claim) -> None:
+        """Answer a copy of a request as its first one was answered."""
         if claim.state is ClaimState.RUNNING:
             # The answer goes out when the first copy is done.
             self.counters.add('duplicates_running')
@@ -190,81 +220,129 @@
             self.counters.add('duplicates_answered')
             self.finish(envelope, claim.answer)
             return
-        if self.rebalances(envelope):
-            # Settled in the same step: no copy can be dispatched any more.
-            self.window.settle(key, self.overloaded())
-            self.flows.close(cookie.flow_id)
-            self.counters.add('flows_moved', reason='rebalanced')
-            return
-        answer = await self.attempt(envelope, cookie)
-        self.window.settle(key, answer)
-        if self.moves(answer) and self.elsewhere(envelope, self.upstream.name):
-            # The other owner answers with its own cookie; a late copy gets
-            # the refusal that was settled here.
-            self.flows.close(cookie.flow_id)
-            self.counters.add('flows_moved', reason=str(answer.reason))
-            return
-        self.finish(envelope, answer)
-
-    def rebalances(self, envelope: Envelope) -> bool:
-        """Open a flow elsewhere whose request would have to wait here.
+        failure = RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.TOKEN_REUSED,
+            message='this token stands for another request; use a new one',
+        )
+        self.finish(envelope, refusal(failure))
 
-        Flows last for hours: without this an upstream that comes back stays
-        idle beside those that took its flows. The budget keeps it slow.
-        """
-        if self.limiter.free or not self.budget.affords():
-            return False
-        flows = self.flows.count(trio.current_time())
-        below = flows / self.limiter.limit * REBALANCE_FACTOR
-        if not self.elsewhere(envelope, self.upstream.name, below):
-            return False
-        return self.budget.spend()
-
-    def overloaded(self) -> Answer:
-        """Return the refusal of a request that would wait too long."""
-        return refusal(
-            RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=Reason.OVERLOADED,
-            ),
+    def refuse_sealed(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Say "not run" under an epoch that never dispatches again."""
+        full = self.epochs.current is None and self.epochs.full
+        failure = RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.WINDOW_FULL if full else Reason.EPOCH_CLOSED,
         )
+        fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
+        self.finish(envelope, refusal(failure, cookie=fresh))
 
-    def moves(self, answer: Answer) -> bool:
-        """Return True when a request is better sent elsewhere at once."""
-        if answer.verdict is Verdict.RAN:
-            self.budget.earn()
-        if answer.verdict is not Verdict.NOT_RUN:
-            return False
-        if answer.reason in BUDGETED_MOVES:
-            return self.budget.spend()
-        return answer.reason in FREE_MOVES
+    async def serve_foreign(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Serve a request of an epoch that this VM does not hold.
+
+        Its holder may have run it, so only a request that may run twice runs
+        here; any other is told so at once, with a cookie for new requests.
+        """
+        if self.heir is not None:
+            self.pass_on(envelope)
+            return
+        current = self.epochs.current
+        age = cookie.age(self.clock.now())
+        if age is CookieAge.FORGOTTEN:
+            self.offer_cookie(envelope, cookie.flow_id, Reason.COOKIE_EXPIRED)
+        elif current is not None and self.foreign.may_run(envelope.request):
+            self.counters.add('requests_adopted')
+            adopted = attrs.evolve(
+                cookie,
+                epoch=current.epoch,
+                issued=int(self.clock.now()),
+            )
+            await self.serve_held(envelope, adopted, current)
+        else:
+            failure = RequestFailedError(
+                verdict=self.foreign.verdict(),
+                reason=Reason.EPOCH_CLOSED,
+                message='the owner that knew this request is gone',
+            )
+            fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
+            self.finish(envelope, refusal(failure, cookie=fresh))
 
     async def attempt(self, envelope: Envelope, cookie: Cookie) -> Answer:
         """Dispatch one request, or say why not and when to come back."""
-        fresh = self.cookie(cookie.flow_id, envelope.caller)
-        if self.leaving:
-            return refusal(
-                RequestFailedError(
-                    verdict=Verdict.NOT_RUN,
-                    reason=Reason.UPSTREAM_LEAVING,
-                ),
-            )
-        self.flows.use(cookie.flow_id, trio.current_time())
+        fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
         try:
-            if cookie.age(self.clock.now()) is not CookieAge.VALID:
-                raise RequestFailedError(
-                    verdict=Verdict.NOT_RUN,
-                    reason=Reason.COOKIE_EXPIRED,
-                )
-            answer = await self.dispatcher.dispatch(
-                envelope.request,
-                flow_id=cookie.flow_id,
-                longest_seconds=self.document.deadline_seconds,
-            )
+            answer = await self.dispatch(envelope, cookie)
         except RequestFailedError as failure:
+            if failure.reason in START_AFRESH:
+                fresh = b''
             return refusal(failure, cookie=fresh)
         return attrs.evolve(answer, cookie=fresh)
 
+    async def dispatch(self, envelope: Envelope, cookie: Cookie) -> Answer:
+        """Run a claimed request, unless its cookie or this VM forbids it."""
+        if cookie.age(self.clock.now()) is not CookieAge.VALID:
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.COOKIE_EXPIRED,
+            )
+        self.fence.check()
+        self.admission.use_flow(cookie.flow_id, self.upstream)
+        return await self.dispatcher.dispatch(
+            envelope.request,
+            flow_id=cookie.flow_id,
+            longest_seconds=self.document.deadline_seconds,
+        )
+
+    def pass_on(self, envelope: Envelope, *, upstream: str = '') -> None:
+        """Send a request to the heir, or keep it until the heir can take it."""
+        if self.heir is None:
+            return
+        known = self.link.reachable(self.heir)
+        if self.tenure is Tenure.HEIR_LOST or not known:
+            # The lost heir may hold the epochs and may have run the request.
+            failure = RequestFailedError(
+                verdict=self.foreign.verdict(),
+                reason=Reason.OWNER_LOST,
+            )
+            self.finish(envelope, refusal(failure))
+        elif self.tenure is Tenure.HANDED_OVER or upstream:
+            self.link.relay(
+                envelope,
+                self.heir.peer_address,
+                upstream=upstream,
+            )
+        elif len(self.waiting) < WAITING_LIMIT:
+            self.waiting.append(envelope)
+
+    def hand_over_to(self, heir: Member) -> None:
+        """Dispatch nothing new from here on, whatever becomes of the heir."""
+        self.heir = heir
+        self.tenure = Tenure.HANDING_OVER
+        self.ready.set()
+
+    def handed_over(self, *, acknowledged: bool) -> None:
+        """Let the requests that waited go to the heir."""
+        if acknowledged:
+            self.tenure = Tenure.HANDED_OVER
+        else:
+            self.tenure = Tenure.HEIR_LOST
+        waiting = self.waiting
+        self.waiting = []
+        for envelope in waiting:
+            self.pass_on(envelope)
+
+    def retire(self) -> None:
+        """Seal every epoch: nobody takes over, and nothing runs any more."""
+        self.epochs.seal_all(trio.current_time())
+        self.tenure = Tenure.RETIRED
+        self.ready.set()
+
+    def reopen(self) -> None:
+        """Start a fresh epoch once a full window has room again."""
+        sealed = self.epochs.current is None and not self.epochs.full
+        if self.tenure is Tenure.SERVING and sealed:
+            self.epochs.open()
+
     def finish(self, envelope: Envelope, answer: Answer) -> None:
         """Count an answer and send it with the hops it took."""
         self.counters.add(
@@ -274,4 +352,4 @@
             reason=answer.reason.value if answer.reason else 'none',
         )
         hops = (*envelope.hops, self.upstream.name)
-        self.reply(envelope, attrs.evolve(answer, hops=hops))
+        self.link.reply(envelope, attrs.evolve(answer, hops=hops))
--- a/burdocksill/peers/messages.py
+++ b/burdocksill/peers/messages.py
@@ -6,12 +6,22 @@
 
 import attrs
 
+from burdocksill.ownership.messages import (
+    HandoverAck,
+    HandoverNone,
+    HandoverPart,
+    HandoverRequest,
+    HandoverSettled,
+    HandoverSettledAck,
+)
+
 
 @attrs.frozen(kw_only=True)
 class RelayRequest:
     """Pass a caller's datagram on to the VM that owns its upstream.
 
     `upstream` is set for a new flow only: the owner has the last word on it.
+    `refused` says that the holder of the request's epoch refused it.
     """
 
     raw: bytes
@@ -19,11 +29,18 @@
     caller_port: int
     hops: tuple[str, ...] = ()
     upstream: str = ''
+    refused: bool = False
 
 
 # The number of a kind is part of the wire format: append, never renumber.
 MESSAGE_KINDS: Final[Mapping[int, type]] = MappingProxyType(
     {
         1: RelayRequest,
+        2: HandoverRequest,
+        3: HandoverNone,
+        4: HandoverPart,
+        5: HandoverAck,
+        6: HandoverSettled,
+        7: HandoverSettledAck,
     }
 )
--- a/burdocksill/requests/messages.py
+++ b/burdocksill/requests/messages.py
@@ -58,9 +58,14 @@
 
 @attrs.frozen(kw_only=True)
 class Envelope:
-    """Hold a request with where it came from and which VMs passed it on."""
+    """Hold a request with where it came from and which VMs passed it on.
+
+    `refused` says that the holder of its epoch refused it for good: it was
+    not run, and only a new flow is wanted.
+    """
 
     request: CallerRequest
     caller: Address
     hops: tuple[str, ...] = ()
     raw: bytes = b''
+    refused: bool = False
--- /dev/null
+++ b/burdocksill/upstreams/admission.py
@@ -0,0 +1,193 @@
+"""Which flows and requests an owner takes, and which it sends elsewhere."""
+
+import math
+from typing import Final, Protocol
+
+import attrs
+import trio
+
+from burdocksill.documents.models import Upstream
+from burdocksill.flows.cookie import name_tag
+from burdocksill.membership.protocols import MemberView
+from burdocksill.observe.counters import Counters
+from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.messages import Answer, Envelope
+from burdocksill.requests.retries import RetryBudget
+from burdocksill.requests.verdict import Reason, Verdict
+from burdocksill.upstreams.departures import LeavingRule
+from burdocksill.upstreams.flows import FlowBook
+from burdocksill.upstreams.messages import UpstreamHint
+from burdocksill.upstreams.protocols import Limiter, UpstreamClient
+
+# These refusals cost no upstream anything, so sending the request elsewhere
+# adds no load; shedding and full queues do, and are held to the budget.
+FREE_MOVES: Final = frozenset(
+    (Reason.UPSTREAM_LEAVING, Reason.UPSTREAM_DOWN, Reason.UPSTREAM_COLD),
+)
+BUDGETED_MOVES: Final = frozenset((Reason.UPSTREAM_SHED, Reason.OVERLOADED))
+# Nowhere else to go: a flow may still wait here for better times, except at
+# an upstream that leaves or holds as many flows as it may.
+FINAL_REASONS: Final = frozenset((Reason.UPSTREAM_LEAVING, Reason.OVERLOADED))
+# A flow is moved for balance only to an upstream with this share of the load.
+REBALANCE_FACTOR: Final = 0.75
+
+
+class Elsewhere(Protocol):
+    """Open a flow at another upstream than the one named."""
+
+    def __call__(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        below: float = math.inf,
+    ) -> bool:
+        """Return False when there is none, or none with less load."""
+
+
+@attrs.define(kw_only=True)
+class Admission:
+    """Decide for one owned upstream; the owner's word is the last."""
+
+    service: str
+    client: UpstreamClient
+    limiter: Limiter
+    flows: FlowBook
+    leaving_rule: LeavingRule
+    members: MemberView
+    budget: RetryBudget
+    elsewhere: Elsewhere
+    counters: Counters
+
+    def leaving(self, upstream: Upstream) -> bool:
+        """Return True when an upstream gets no new work."""
+        return self.leaving_rule.leaves(upstream, told=self.client.leaving)
+
+    def hint(self, upstream: Upstream) -> UpstreamHint:
+        """Return what other VMs may know of an upstream."""
+        return UpstreamHint(
+            service=self.service,
+            upstream=upstream.name,
+            free_slots=self.limiter.free,
+            slots=self.limiter.limit,
+            cold=self.limiter.cold,
+            leaving=self.leaving(upstream) or not self.client.connected,
+            flows=self.flows.count(trio.current_time()),
+        )
+
+    def open_flow(self, envelope: Envelope, upstream: Upstream) -> bool:
+        """Send a new flow elsewhere; return False when it stays here.
+
+        Raise RequestFailedError (not run) when it can't be anywhere.
+        """
+        reason = self.unwilling(envelope, upstream)
+        if reason is None:
+            return False
+        if self.elsewhere(envelope, upstream.name):
+            self.count('flows_sent_elsewhere', upstream, reason)
+            return True
+        if reason in FINAL_REASONS:
+            raise RequestFailedError(verdict=Verdict.NOT_RUN, reason=reason)
+        return False
+
+    def unwilling(
+        self,
+        envelope: Envelope,
+        upstream: Upstream,
+    ) -> Reason | None:
+        """Return why a new flow had better go elsewhere, None if it may stay.
+
+        Hints are stale, so this word is the last: only the owner knows.
+        """
+        if self.leaving(upstream):
+            return Reason.UPSTREAM_LEAVING
+        if not self.flows.admits(
+            trio.current_time(),
+            connections=upstream.connections,
+            foreign=self.foreign(envelope, upstream),
+        ):
+            return Reason.OVERLOADED
+        if not self.client.connected:
+            return Reason.UPSTREAM_DOWN
+        if self.limiter.cold and not self.limiter.free:
+            return Reason.UPSTREAM_COLD
+        return None
+
+    def foreign(self, envelope: Envelope, upstream: Upstream) -> bool:
+        """Return True when a VM of another failure domain placed the flow."""
+        first = self.members.find(name_tag(envelope.hops[0]))
+        return first is not None and first.domain != upstream.domain
+
+    def use_flow(self, flow_id: bytes, upstream: Upstream) -> None:
+        """Count a flow that sends a request; raise where it may not."""
+        if self.leaving(upstream):
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.UPSTREAM_LEAVING,
+            )
+        self.flows.use(flow_id, trio.current_time())
+
+    def rebalances(
+        self,
+        envelope: Envelope,
+        flow_id: bytes,
+        upstream: Upstream,
+    ) -> bool:
+        """Open a flow elsewhere whose request would have to wait here.
+
+        Flows last for hours: without this an upstream that comes back stays
+        idle beside those that took its flows. The budget keeps it slow.
+        """
+        if self.limiter.free or not self.budget.affords():
+            return False
+        flows = self.flows.count(trio.current_time())
+        below = flows / self.limiter.limit * REBALANCE_FACTOR
+        if not self.elsewhere(envelope, upstream.name, below):
+            return False
+        self.budget.spend()
+        self.flows.close(flow_id)
+        self.count('flows_rebalanced', upstream, Reason.OVERLOADED)
+        return True
+
+    def moves(
+        self,
+        envelope: Envelope,
+        flow_id: bytes,
+        upstream: Upstream,
+        answer: Answer,
+    ) -> bool:
+        """Open a flow elsewhere whose request was refused here.
+
+        The other owner answers with its own cookie; a late copy gets the
+        refusal that is settled here.
+        """
+        if answer.verdict is Verdict.RAN:
+            self.budget.earn()
+        if not self.may_move(answer):
+            return False
+        if not self.elsewhere(envelope, upstream.name):
+            return False
+        self.flows.close(flow_id)
+        self.count('flows_moved', upstream, answer.reason)
+        return True
+
+    def may_move(self, answer: Answer) -> bool:
+        """Return True for a refusal that may be tried elsewhere at once."""
+        if answer.verdict is not Verdict.NOT_RUN:
+            return False
+        if answer.reason in BUDGETED_MOVES:
+            return self.budget.spend()
+        return answer.reason in FREE_MOVES
+
+    def count(
+        self,
+        name: str,
+        upstream: Upstream,
+        reason: Reason | None,
+    ) -> None:
+        """Count a flow that went elsewhere."""
+        self.counters.add(
+            name,
+            service=self.service,
+            upstream=upstream.name,
+            reason=str(reason),
+        )
--- a/burdocksill_lab/proofs/cold_start.py
+++ b/burdocksill_lab/proofs/cold_start.py
@@ -28,8 +28,6 @@
 PAUSE_SECONDS: Final = 0.05
 WORK_SECONDS: Final = 0.1
 SETTLE_SECONDS: Final = 3.0
-# Long enough for the owner before to hear that it is no longer the owner.
-SILENCE_SECONDS: Final = 3.0
 
 
 def all_slots_at_once(upstream: Upstream, rng: Random) -> Limiter:
@@ -42,8 +40,6 @@
     """Turn upstreams cold in four ways under more load than they bear."""
 
     world: World
-    # A hasty heir serves at once, while the owner before still does.
-    hasty: bool = False
     # The upstreams that got too little work to become warm.
     idle: tuple[str, ...] = ()
     trace: list[str] = attrs.field(factory=list)
@@ -53,7 +49,7 @@
         await self.prepare()
         work = Workload(
             service=SERVICE,
-            until=trio.current_time() + 8 * SETTLE_SECONDS,
+            until=trio.current_time() + 9 * SETTLE_SECONDS,
             pause_seconds=PAUSE_SECONDS,
         )
         async with trio.open_nursery() as nursery:
@@ -114,16 +110,16 @@
         await trio.sleep(SETTLE_SECONDS)
 
     async def overlap_owners(self) -> None:
-        """Let a second VM take over while the first still serves."""
-        name = heir_of(FIRST)
-        running = await self.world.start_node(name, DOMAIN)
-        taken = list(running.node.owners.owned.values())
-        if not self.hasty:
-            for owned in taken:
-                owned.start_cold(silence_seconds=SILENCE_SECONDS)
+        """Let a second VM take over that cannot talk to the first."""
+        former = self.world.nodes[OWNER]
+        self.world.network.cut([former.host], [self.world.next_host()])
+        running = await self.world.start_node(heir_of(FIRST), DOMAIN)
         for stand_in in self.world.upstreams.values():
             stand_in.restart()
-        self.note(f'a second VM owns {len(taken)}, all restarted')
+        owned = len(running.node.owners.owned)
+        self.note(f'a second VM is to own {owned}, all restarted')
+        await trio.sleep(SETTLE_SECONDS)
+        self.world.network.heal()
         await trio.sleep(2 * SETTLE_SECONDS)
 
     def note(self, text: str) -> None:
@@ -144,7 +140,6 @@
         'An upstream that has just started receives no more load than it '
         'can bear.'
     )
-    hasty: bool = False
 
     def run(self, *, seed: int, control: bool) -> ProofResult:
         """Run the story; the control gives all slots at once."""
@@ -154,7 +149,7 @@
 
         async def story() -> ProofResult:
             async with open_world(seed, guards=guards) as world:
-                told = ColdStartStory(world=world, hasty=self.hasty)
+                told = ColdStartStory(world=world)
                 await told.run()
                 return judge(told)
 
--- a/burdocksill_lab/stand_ins/upstream.py
+++ b/burdocksill_lab/stand_ins/upstream.py
@@ -11,7 +11,7 @@
 import trio
 
 from burdocksill.network.protocols import Address
-from burdocksill.upstreams.connection import TIMEOUT_HEADER
+from burdocksill.upstreams.connection import FLOW_HEADER, TIMEOUT_HEADER
 from burdocksill.upstreams.health import HEALTH_PATH, LOAD_PATH, HealthState
 from burdocksill.upstreams.identity import IDENTITY_PATH
 from burdocksill_lab.stand_ins.serving import (
@@ -192,6 +192,8 @@
         if self.busy > self.bearable:
             self.fall_over()
         factor = self.cold_factor if self.cold else 1
+        # Noted before the work: whatever may have had an effect counts.
+        self.enter_ledger(request)
         left = int(request.headers.get(TIMEOUT_HEADER, '0')) / MS_PER_SECOND
         try:
             with trio.move_on_after(left or math.inf):
@@ -201,18 +203,21 @@
             self.busy -= 1
         return None
 
-    def finish(self, request: ReceivedRequest) -> StandInAnswer:
-        """Enter a request in the ledger and write its answer."""
-        self.done += 1
-        path = request.headers[':path']
+    def enter_ledger(self, request: ReceivedRequest) -> None:
+        """Remember a request that runs."""
         self.ledger.append(
             LedgerEntry(
                 method=request.headers[':method'],
-                path=path,
+                path=request.headers[':path'],
                 payload=bytes(request.body),
-                flow=request.headers.get('burdocksill-flow', ''),
+                flow=request.headers.get(FLOW_HEADER, ''),
             ),
         )
+
+    def finish(self, request: ReceivedRequest) -> StandInAnswer:
+        """Write the answer of a request whose work is done."""
+        self.done += 1
+        path = request.headers[':path']
         done = {'by': self.name, 'path': path, 'count': len(self.ledger)}
         return StandInAnswer(status=200, payload=json.dumps(done))
 
