Let an heir count what its predecessor still has in progress

An heir started its own requests while the former owner's were still running, so that both together could exceed the slots. It now counts each of them until it is told its end, and goes on from the former limit if the upstream's instance is the same.

--- a/burdocksill/ownership/exchange.py
+++ b/burdocksill/ownership/exchange.py
@@ -30,6 +30,16 @@
     return OwnedKey(service=service, upstream_tag=name_tag(upstream))
 
 
+def still_running(tables: tuple[EpochTable, ...]) -> list[bytes]:
+    """Return the requests that the former owner still has in progress."""
+    return [
+        key
+        for table in tables
+        for key, entry in table.window.entries()
+        if entry.answer is None
+    ]
+
+
 @attrs.define(kw_only=True)
 class HandoverExchange:
     """Answer the messages of handovers on behalf of the owner table."""
@@ -106,6 +116,12 @@
             return
         for table in tables:
             owned.epochs.inherit(table)
+        owned.admission.take_over(
+            running=still_running(tables),
+            seconds=owned.document.deadline_seconds,
+            limit=part.limit,
+            instance=part.instance,
+        )
         if owned.tenure is Tenure.TAKING:
             owned.start()
         self.table.nursery.start_soon(self.settle_lost, owned, tables)
@@ -151,6 +167,8 @@
         if table is None or entry.answer is None:
             return
         key = RequestKey(entry.key)
+        if owned is not None:
+            owned.admission.limiter.settle_adopted(key)
         table.window.settle(key, entry.answer, now=trio.current_time())
         self.table.peers.send(
             HandoverSettledAck(epoch=entry.epoch, key=entry.key),
--- a/burdocksill/ownership/handover.py
+++ b/burdocksill/ownership/handover.py
@@ -95,6 +95,8 @@
             parts=len(groups),
             epochs=epochs,
             entries=entries,
+            limit=owned.admission.limiter.limit,
+            instance=owned.admission.client.instance,
         )
         for number, entries in enumerate(groups)
     ]
--- a/burdocksill/ownership/messages.py
+++ b/burdocksill/ownership/messages.py
@@ -53,6 +53,9 @@
     parts: int
     epochs: tuple[HandoverEpoch, ...]
     entries: tuple[HandoverEntry, ...]
+    # What the upstream bore at once, and its instance that bore it.
+    limit: int = 0
+    instance: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/burdocksill/upstreams/admission.py
+++ b/burdocksill/upstreams/admission.py
@@ -74,6 +74,23 @@
             flows=self.flows.count(trio.current_time()),
         )
 
+    def take_over(
+        self,
+        *,
+        running: list[bytes],
+        seconds: float,
+        limit: int,
+        instance: str,
+    ) -> None:
+        """Go on where the owner before stopped.
+
+        Its requests in progress still hold slots. Its limit counts only if
+        the upstream has not become another instance meanwhile: that is cold.
+        """
+        self.limiter.adopt(running, seconds=seconds)
+        if instance and instance == self.client.instance:
+            self.limiter.resume(limit)
+
     def open_flow(self, envelope: Envelope, upstream: Upstream) -> bool:
         """Send a new flow elsewhere; return False when it stays here.
 
--- a/burdocksill/upstreams/client.py
+++ b/burdocksill/upstreams/client.py
@@ -83,6 +83,11 @@
         """Return True while there is a verified connection."""
         return self.connection is not None and not self.connection.closed
 
+    @property
+    def instance(self) -> str:
+        """Return the instance that was verified last, empty before."""
+        return self.identity.instance if self.identity else ''
+
     @property
     def leaving(self) -> bool:
         """Return True when the upstream itself says that it leaves."""
--- a/burdocksill/upstreams/limits.py
+++ b/burdocksill/upstreams/limits.py
@@ -3,7 +3,7 @@
 import logging
 import math
 from collections import deque
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Iterable
 from contextlib import asynccontextmanager
 from random import Random
 from typing import Final
@@ -17,6 +17,7 @@
 from burdocksill.upstreams.exceptions import ConnectionSilentError
 from burdocksill.upstreams.latency import Latency
 from burdocksill.upstreams.ramp import Ramp
+from burdocksill.upstreams.unseen import UnseenWork
 
 # The queue is short: a request waits at most for a few rounds of the slots.
 QUEUE_ROUNDS: Final = 4
@@ -48,8 +49,7 @@
     latency: Latency = attrs.field(factory=Latency)
     busy: int = 0
     waiting: deque[Waiter] = attrs.field(factory=deque)
-    # Deadlines of the work that was given up on without telling anyone.
-    orphans: list[float] = attrs.field(factory=list)
+    unseen: UnseenWork = attrs.field(factory=UnseenWork)
     silent_until: float = -math.inf
     shed_until: float = -math.inf
 
@@ -73,9 +73,7 @@
 
     def occupied(self) -> int:
         """Return the work that the upstream may be busy with."""
-        now = trio.current_time()
-        self.orphans = [until for until in self.orphans if until > now]
-        return self.busy + len(self.orphans)
+        return self.busy + len(self.unseen.until())
 
     @asynccontextmanager
     async def slot(self, *, deadline: float) -> AsyncGenerator[None, None]:
@@ -85,7 +83,7 @@
         try:
             yield
         except ConnectionSilentError:
-            self.orphans.append(deadline)
+            self.unseen.orphan(deadline)
             raise
         except RequestFailedError as failure:
             self.take_failure(failure, trio.current_time() - started)
@@ -133,7 +131,7 @@
 
     def next_change(self, waiter: Waiter) -> float:
         """Return when a waiter's turn can change without any event."""
-        return min([waiter.give_up_at, *self.orphans])
+        return min([waiter.give_up_at, *self.unseen.until()])
 
     def admit_waiting(self) -> None:
         """Hand free slots to the queue and refuse whose turn is too late."""
@@ -164,12 +162,12 @@
     def expected_wait(self, ahead: int) -> float:
         """Return how long a request behind others waits for its slot."""
         now = trio.current_time()
-        orphaned = sorted(until for until in self.orphans if until > now)
-        usable = self.ramp.limit - len(orphaned)
+        unseen = self.unseen.until()
+        usable = self.ramp.limit - len(unseen)
         if usable <= 0:
             # The first slot comes free when the upstream's own deadline ends
             # the work that nobody waits for.
-            until = orphaned[-usable] if -usable < len(orphaned) else now
+            until = unseen[-usable] if -usable < len(unseen) else now
             return until - now + ahead * self.latency.fast
         return (ahead + 1) * self.latency.fast / usable
 
@@ -211,10 +209,20 @@
         """Go on from the limit that the owner before handed over."""
         self.ramp.limit = max(1, min(limit, self.ramp.slots))
         self.ramp.begin_step(trio.current_time())
+        self.admit_waiting()
+
+    def adopt(self, running: Iterable[bytes], *, seconds: float) -> None:
+        """Count requests that the owner before still has in progress."""
+        self.unseen.adopt(running, trio.current_time() + seconds)
+
+    def settle_adopted(self, key: bytes) -> None:
+        """Stop counting one request of the owner before: it has ended."""
+        self.unseen.settle(key)
+        self.admit_waiting()
 
     def forget_orphans(self) -> None:
         """Drop orphaned work: a new instance runs none of it."""
-        self.orphans.clear()
+        self.unseen.clear()
         self.admit_waiting()
 
     def take_report(self, bearable: int) -> None:
@@ -274,6 +282,12 @@
     def resume(self, limit: int) -> None:
         """Take no notice of a handed-over limit."""
 
+    def adopt(self, running: Iterable[bytes], *, seconds: float) -> None:
+        """Take no notice of what the owner before has in progress."""
+
+    def settle_adopted(self, key: bytes) -> None:
+        """Count nothing that the owner before had in progress."""
+
     def forget_orphans(self) -> None:
         """Have no orphaned work."""
 
--- a/burdocksill/upstreams/protocols.py
+++ b/burdocksill/upstreams/protocols.py
@@ -1,6 +1,6 @@
 """What can be replaced around an upstream."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Iterable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -20,6 +20,10 @@
     def connected(self) -> bool:
         """Return True while there is a verified connection."""
 
+    @property
+    def instance(self) -> str:
+        """Return the instance that was verified last, empty before."""
+
     @property
     def leaving(self) -> bool:
         """Return True when the upstream itself says that it leaves."""
@@ -70,6 +74,12 @@
     def resume(self, limit: int) -> None:
         """Go on from the limit that the owner before handed over."""
 
+    def adopt(self, running: Iterable[bytes], *, seconds: float) -> None:
+        """Count requests that the owner before still has in progress."""
+
+    def settle_adopted(self, key: bytes) -> None:
+        """Stop counting one request of the owner before: it has ended."""
+
     def forget_orphans(self) -> None:
         """Drop orphaned work: a new instance runs none of it."""
 
