--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -137,12 +137,13 @@
         return find_owner(self.members, service, upstream)
 
     def load(self, held: HeldHint | None, upstream: Upstream) -> float:
-        """Return an upstream's flows for each request it can run at once."""
+        """Return an upstream's flows for each of its slots."""
         if held is None:
             return 0
         placers = max(1, len(self.members.live(upstream.domain)))
         flows = held.hint.flows + held.placed * placers
-        return flows / max(1, held.hint.slots)
+        # A cold upstream counts in full: flows outlast its ramp by hours.
+        return flows / upstream.slots
 
 
 @attrs.define(kw_only=True)
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -172,7 +172,7 @@
         if table.sealed:
             self.refuse_sealed(envelope, cookie)
             return
-        if self.admission.rebalances(envelope, cookie.flow_id, self.upstream):
+        if self.admission.sends_away(envelope, cookie.flow_id, self.upstream):
             # Settled in the same step: no copy can be dispatched any more.
             self.settle(table, key, OVERLOADED)
             return
--- a/burdocksill/upstreams/admission.py
+++ b/burdocksill/upstreams/admission.py
@@ -26,8 +26,10 @@
 )
 BUDGETED_MOVES: Final = frozenset((Reason.UPSTREAM_SHED, Reason.OVERLOADED))
 # Nowhere else to go: a flow may still wait here for better times, except at
-# an upstream that leaves or holds as many flows as it may.
-FINAL_REASONS: Final = frozenset((Reason.UPSTREAM_LEAVING, Reason.OVERLOADED))
+# an upstream that leaves, sheds or holds as many flows as it may.
+FINAL_REASONS: Final = frozenset(
+    (Reason.UPSTREAM_LEAVING, Reason.OVERLOADED, Reason.UPSTREAM_SHED),
+)
 # A flow is moved for balance only to an upstream with this share of the load.
 REBALANCE_FACTOR: Final = 0.75
 
@@ -123,6 +125,8 @@
             foreign=self.foreign(envelope, upstream),
         ):
             return Reason.OVERLOADED
+        if self.limiter.paused:
+            return Reason.UPSTREAM_SHED
         if not self.client.connected:
             return Reason.UPSTREAM_DOWN
         if self.limiter.cold and not self.limiter.free:
@@ -143,13 +147,27 @@
             )
         self.flows.use(flow_id, trio.current_time())
 
-    def rebalances(
+    def sends_away(
         self,
         envelope: Envelope,
         flow_id: bytes,
         upstream: Upstream,
     ) -> bool:
-        """Open a flow elsewhere whose request would have to wait here.
+        """Open a flow elsewhere whose request would have to wait here."""
+        if self.limiter.paused:
+            # The upstream is not asked at all, so this adds no load to it.
+            sent = self.elsewhere(envelope, upstream.name)
+            reason = Reason.UPSTREAM_SHED
+        else:
+            sent = self.rebalances(envelope, upstream)
+            reason = Reason.OVERLOADED
+        if sent:
+            self.flows.close(flow_id)
+            self.count('flows_sent_away', upstream, reason)
+        return sent
+
+    def rebalances(self, envelope: Envelope, upstream: Upstream) -> bool:
+        """Open a flow at an upstream that is known to hold fewer.
 
         Flows last for hours: without this an upstream that comes back stays
         idle beside those that took its flows. The budget keeps it slow.
@@ -157,13 +175,10 @@
         if self.limiter.free or not self.budget.affords():
             return False
         flows = self.flows.count(trio.current_time())
-        below = flows / self.limiter.limit * REBALANCE_FACTOR
+        below = flows / upstream.slots * REBALANCE_FACTOR
         if not self.elsewhere(envelope, upstream.name, below):
             return False
-        self.budget.spend()
-        self.flows.close(flow_id)
-        self.count('flows_rebalanced', upstream, Reason.OVERLOADED)
-        return True
+        return self.budget.spend()
 
     def moves(
         self,
--- a/burdocksill/upstreams/limits.py
+++ b/burdocksill/upstreams/limits.py
@@ -66,11 +66,15 @@
     @property
     def free(self) -> int:
         """Return how many requests would be admitted without a wait."""
-        now = trio.current_time()
-        if now < max(self.silent_until, self.shed_until):
+        if self.paused:
             return 0
         return max(0, self.ramp.limit - self.occupied())
 
+    @property
+    def paused(self) -> bool:
+        """Return True while nothing is admitted: silence, or shedding."""
+        return trio.current_time() < max(self.silent_until, self.shed_until)
+
     def occupied(self) -> int:
         """Return the work that the upstream may be busy with."""
         return self.busy + len(self.unseen.until())
@@ -115,7 +119,9 @@
         self.waiting.append(waiter)
         try:
             while not waiter.decided.is_set():
-                with trio.move_on_at(self.next_change(waiter)):
+                # A turn can also change when unseen work reaches its end.
+                changes = [waiter.give_up_at, *self.unseen.until()]
+                with trio.move_on_at(min(changes)):
                     await waiter.decided.wait()
                 self.admit_waiting()
         except BaseException:
@@ -129,10 +135,6 @@
         if not waiter.granted:
             raise self.refusal(Reason.OVERLOADED)
 
-    def next_change(self, waiter: Waiter) -> float:
-        """Return when a waiter's turn can change without any event."""
-        return min([waiter.give_up_at, *self.unseen.until()])
-
     def admit_waiting(self) -> None:
         """Hand free slots to the queue and refuse whose turn is too late."""
         self.drop_hopeless()
@@ -146,7 +148,7 @@
         """Refuse at once the waiters that a lower limit makes too late."""
         now = trio.current_time()
         kept: deque[Waiter] = deque()
-        if now < max(self.silent_until, self.shed_until):
+        if self.paused:
             # They can be retried elsewhere; here they would only wait.
             for waiter in self.waiting:
                 waiter.decided.set()
@@ -251,6 +253,7 @@
     slots: int
     busy: int = 0
     cold: bool = False
+    paused: bool = False
 
     @property
     def limit(self) -> int:
--- a/burdocksill/upstreams/protocols.py
+++ b/burdocksill/upstreams/protocols.py
@@ -54,6 +54,10 @@
     def cold(self) -> bool:
         """Return True while the upstream may not have all its slots."""
 
+    @property
+    def paused(self) -> bool:
+        """Return True while nothing is admitted: silence, or shedding."""
+
     @property
     def limit(self) -> int:
         """Return how many requests may run at once now."""
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -4,6 +4,7 @@
 
 from burdocksill import VERSION
 from burdocksill_lab.commands.demo import demo
+from burdocksill_lab.commands.measure_upstreams import measure_upstreams
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
 
 
@@ -14,6 +15,7 @@
 
 
 main.add_command(demo)
+main.add_command(measure_upstreams)
 main.add_command(platform)
 main.add_command(upstream)
 main.add_command(fabric)
--- /dev/null
+++ b/burdocksill_lab/measure_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of limits, placement and retries at the users' sizes."""
--- a/burdocksill_lab/workload.py
+++ b/burdocksill_lab/workload.py
@@ -31,6 +31,8 @@
     service: str
     until: float
     pause_seconds: float
+    # Callers begin spread over this long.
+    begin_seconds: float = 1.0
     timeout_seconds: float = 5.0
     # Callers that ignore the time to come back are the storm of a baseline.
     patient: bool = True
@@ -41,13 +43,13 @@
         return sum(record.verdict is verdict for record in self.records)
 
     async def run_caller(self, world: World, rng: Random) -> None:
-        """Ask again and again in one session; pauses are exponential."""
-        await trio.sleep(rng.uniform(0, self.pause_seconds))
+        """Ask again and again in one session, with uneven pauses."""
+        await trio.sleep(rng.uniform(0, self.begin_seconds))
         async with world.session(self.service) as session:
             while trio.current_time() < self.until:
                 started = trio.current_time()
                 method = rng.choice(('GET', 'POST'))
-                pause = rng.expovariate(1 / self.pause_seconds)
+                pause = self.pause_seconds * rng.uniform(0.5, 1.5)
                 record = CallRecord(
                     at=started,
                     seconds=0,
