--- a/burdocksill/membership/swim.py
+++ b/burdocksill/membership/swim.py
@@ -79,6 +79,14 @@
             return ()
         return self.table.live(domain)
 
+    def leaving(self, domain: str) -> tuple[Member, ...]:
+        """Return the members that are handing over before they stop."""
+        return tuple(
+            held.member
+            for held in self.table.of_domain(domain)
+            if held.state is MemberState.LEAVING
+        )
+
     def find(self, tag: bytes) -> Member | None:
         """Return a member that packets can be relayed to, leaving included."""
         held = self.table.find(tag)
--- a/burdocksill/peers/messages.py
+++ b/burdocksill/peers/messages.py
@@ -6,6 +6,15 @@
 
 import attrs
 
+from burdocksill.ownership.messages import (
+    HandoverAck,
+    HandoverNone,
+    HandoverPart,
+    HandoverRequest,
+    HandoverSettled,
+    HandoverSettledAck,
+)
+
 
 @attrs.frozen(kw_only=True)
 class RelayRequest:
@@ -114,5 +123,11 @@
         13: SequenceFloor,
         14: RecordPull,
         15: RecordChunk,
+        2: HandoverRequest,
+        3: HandoverNone,
+        4: HandoverPart,
+        5: HandoverAck,
+        6: HandoverSettled,
+        7: HandoverSettledAck,
     }
 )
--- a/burdocksill_lab/stand_ins/store.py
+++ b/burdocksill_lab/stand_ins/store.py
@@ -75,6 +75,10 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def drop_vm(self, name: str) -> None:
+        """Take one VM off the list, as the platform does some time later."""
+        self.current.pop(keys.VMS + name, None)
+
     async def read(self, key: str) -> StoredValue | None:
         """Return one value, or None when the key is absent."""
         self.reads += 1
@@ -90,14 +94,23 @@
     def snapshot(self, prefix: str, at: int | None) -> Snapshot:
         """Return what was below a prefix at a revision, now without one."""
         revision = self.revision if at is None else at
+        known = self.current if at is None else self.known_at(at)
         found = {
-            stored.key: stored
-            for stored in self.history
-            if stored.key.startswith(prefix) and stored.revision <= revision
+            key: stored
+            for key, stored in known.items()
+            if key.startswith(prefix)
         }
         ordered = tuple(found[key] for key in sorted(found))
         return Snapshot(values=ordered, revision=revision)
 
+    def known_at(self, revision: int) -> dict[str, StoredValue]:
+        """Return what was stored at an earlier revision."""
+        return {
+            stored.key: stored
+            for stored in self.history
+            if stored.revision <= revision
+        }
+
     async def swap(
         self,
         *,
