Prove membership under loss, cuts, pauses and clock jumps

Cause: found by these stories: a VM that was cut off alone stayed fenced for ever, because attempts to reach the dead were dropped only on the next attempt. Change: the quorum drops old attempts whenever it is asked; tags are cached; rumours that tell nothing new are passed over without a copy.

--- a/burdocksill/documents/dissemination.py
+++ b/burdocksill/documents/dissemination.py
@@ -14,7 +14,7 @@
 from burdocksill.documents.models import Versioned
 from burdocksill.documents.store import DocumentStore
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.flows.keys import KeyHolder, decode_ring
+from burdocksill.flows.keys import KeyHolder, KeyRing, decode_ring
 from burdocksill.observe.counters import Counters
 from burdocksill.platform import keys
 from burdocksill.platform.protocols import Platform, StoredValue
@@ -48,6 +48,11 @@
         if self.keys.ring is not None:
             self.keyed.set()
 
+    def use_keys(self, ring: KeyRing) -> None:
+        """Start with keys that did not come from the platform."""
+        self.keys.ring = ring
+        self.keyed.set()
+
     async def run(self) -> None:
         """Learn until cancelled; an outage leaves what is in force."""
         async with trio.open_nursery() as nursery:
--- a/burdocksill/membership/beliefs.py
+++ b/burdocksill/membership/beliefs.py
@@ -60,7 +60,8 @@
             if held is None and listed and record.role == ENTRY_ROLE:
                 self.merge(member)
             elif held is not None and held.state is MemberState.DEAD:
-                held.since = max(held.since, now - REFORM_SECONDS)
+                # The list still names it: keep the tombstone, ask no more.
+                held.since = max(held.since, now - 2 * REFORM_SECONDS)
 
     def resume(self, now: float) -> None:
         """Start all suspicions anew: what we missed says nothing of them."""
@@ -134,7 +135,9 @@
     def take_state(self, rumour: StateRumour, now: float) -> None:
         """Merge a rumour on a member that we know."""
         held = self.table.find(rumour.tag)
-        if held is None:
+        if held is None or rumour.incarnation < held.member.incarnation:
+            return
+        if is_same(rumour, held.member):
             return
         offered = attrs.evolve(
             held.member,
@@ -165,3 +168,11 @@
         own = attrs.evolve(self.itself, state=state, incarnation=incarnation)
         self.table.put(own)
         self.rumours.add(own.tag)
+
+
+def is_same(rumour: StateRumour, member: Member) -> bool:
+    """Return True for a rumour that tells nothing new."""
+    return (
+        rumour.incarnation == member.incarnation
+        and rumour.state is member.state
+    )
--- a/burdocksill/membership/protocols.py
+++ b/burdocksill/membership/protocols.py
@@ -2,13 +2,18 @@
 
 import enum
 from collections.abc import Callable
-from typing import Protocol
+from functools import lru_cache
+from typing import Final, Protocol
 
 import attrs
 
 from burdocksill.flows.cookie import name_tag
 from burdocksill.network.protocols import Address
 
+# Above the fleet's size; each heartbeat asks for a few dozen tags.
+TAGS_KEPT: Final = 65536
+cached_tag = lru_cache(maxsize=TAGS_KEPT)(name_tag)
+
 
 class MemberState(enum.StrEnum):
     """Name what is believed of an entry VM."""
@@ -32,7 +37,7 @@
     @property
     def tag(self) -> bytes:
         """Return the short hash by which cookies name the VM."""
-        return name_tag(self.name)
+        return cached_tag(self.name)
 
 
 class MemberView(Protocol):
--- a/burdocksill/membership/quorum.py
+++ b/burdocksill/membership/quorum.py
@@ -39,7 +39,11 @@
     def probed(self, tag: bytes, now: float) -> None:
         """Remember that a member of the own domain was probed."""
         self.attempts.append(Attempt(tag=tag, at=now))
-        while self.attempts[0].at < now - WINDOW_SECONDS:
+        self.prune(now)
+
+    def prune(self, now: float) -> None:
+        """Drop the attempts that are too long ago to tell anything."""
+        while self.attempts and self.attempts[0].at < now - WINDOW_SECONDS:
             self.attempts.popleft()
 
     def tick(self, now: float, wall: float) -> bool:
@@ -68,6 +72,7 @@
         if self.gap(now, wall) > self.longest_gap_seconds:
             # Resumed a moment ago, and the tick has not run yet.
             return False
+        self.prune(now)
         since = max(now - WINDOW_SECONDS, self.resumed_at)
         own = self.table.itself
         peers = {held.tag for held in self.table.live(own.domain)}
--- a/burdocksill_lab/fakes/world.py
+++ b/burdocksill_lab/fakes/world.py
@@ -14,7 +14,7 @@
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.entry.guards import Guards
 from burdocksill.entry.node import EntryNode
-from burdocksill.flows.keys import encode_ring, rotate
+from burdocksill.flows.keys import KeyRing, encode_ring, rotate
 from burdocksill.network.protocols import Address
 from burdocksill.platform import keys
 from burdocksill.platform.protocols import VmRecord, VmState
@@ -78,8 +78,29 @@
         self.hosts += 1
         return f'10.0.{self.hosts // 250}.{self.hosts % 250 + 1}'
 
-    async def start_node(self, name: str, domain: str) -> RunningNode:
+    async def start_node(
+        self,
+        name: str,
+        domain: str,
+        *,
+        seeds: tuple[Address, ...] = (),
+        ring: KeyRing | None = None,
+    ) -> RunningNode:
         """Start an entry VM and wait until it serves."""
+        running = self.begin_node(name, domain, seeds=seeds, ring=ring)
+        await running.node.serving.wait()
+        return running
+
+    def begin_node(
+        self,
+        name: str,
+        domain: str,
+        *,
+        seeds: tuple[Address, ...] = (),
+        ring: KeyRing | None = None,
+        clock_offset: float = 0,
+    ) -> RunningNode:
+        """Start an entry VM; the fabric knows it once it serves."""
         host = self.new_host()
         record = VmRecord(
             name=name,
@@ -91,14 +112,31 @@
             admin_port=ADMIN_PORT,
         )
         self.platform.put_vm(record)
-        running = RunningNode(node=self.make_node(record), host=host)
+        running = RunningNode(
+            node=self.make_node(record, clock_offset=clock_offset),
+            host=host,
+        )
+        running.node.fleet.seeds = seeds
+        if ring is not None:
+            running.node.fleet.learner.use_keys(ring)
         self.nodes[name] = running
-        self.require_nursery().start_soon(running.run)
-        await running.node.serving.wait()
-        self.spray().append(Address(host, CALLER_PORT))
+        nursery = self.require_nursery()
+        nursery.start_soon(running.run)
+        nursery.start_soon(self.spray_when_serving, running)
         return running
 
-    def make_node(self, record: VmRecord) -> EntryNode:
+    async def spray_when_serving(self, running: RunningNode) -> None:
+        """Let the fabric spray over a VM that serves."""
+        await running.node.serving.wait()
+        if running in self.nodes.values():
+            self.spray().append(Address(running.host, CALLER_PORT))
+
+    def make_node(
+        self,
+        record: VmRecord,
+        *,
+        clock_offset: float = 0,
+    ) -> EntryNode:
         """Make the real node of an entry VM on the fakes."""
         settings = Settings(
             name=record.name,
@@ -117,7 +155,7 @@
                 network=self.network,
                 host=record.host,
             ),
-            clock=VirtualClock(),
+            clock=VirtualClock(offset=clock_offset),
             rng=Random(self.rng.random()),
             guards=self.guards,
             sleep=host.sleep,
@@ -152,7 +190,9 @@
         running = self.nodes.pop(name)
         self.network.kill(running.host, silent=silent)
         running.scope.cancel()
-        self.spray().remove(Address(running.host, CALLER_PORT))
+        address = Address(running.host, CALLER_PORT)
+        if address in self.spray():
+            self.spray().remove(address)
         self.require_nursery().start_soon(self.drop_later, name)
 
     async def drop_later(self, name: str) -> None:
