--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -1,5 +1,6 @@
 """Compose one entry VM from its slices."""
 
+from collections.abc import Awaitable, Callable
 from functools import partial
 from random import Random
 
@@ -7,16 +8,16 @@
 import trio
 
 from burdocksill.conf.settings import Settings
-from burdocksill.documents.dissemination import PlatformLearner
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.fleet import Fleet
 from burdocksill.entry.guards import Guards
 from burdocksill.entry.router import Router
 from burdocksill.flows.cookie import EPOCH_BYTES, SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
 from burdocksill.flows.placement import RandomPlacer
-from burdocksill.membership.listed import ListedMembership
-from burdocksill.network.protocols import Network, WallClock
+from burdocksill.membership.swim import SwimMembership
+from burdocksill.network.protocols import Address, Network, WallClock
 from burdocksill.observe.counters import Counters
 from burdocksill.ownership.cookies import CookieIssuer
 from burdocksill.ownership.epochs import EpochHolder
@@ -33,7 +34,6 @@
 from burdocksill.ownership.protocols import Fence
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
-from burdocksill.peers.envelope import EnvelopeSealer
 from burdocksill.peers.messages import RelayRequest
 from burdocksill.platform.protocols import Platform
 from burdocksill.requests.dispatch import DeadlineDispatcher
@@ -53,34 +53,38 @@
     keys: KeyHolder = attrs.field(factory=KeyHolder)
     guards: Guards = attrs.field(factory=Guards)
     store: DocumentStore = attrs.field(init=False)
-    membership: ListedMembership = attrs.field(init=False)
+    fleet: Fleet = attrs.field(init=False)
+    membership: SwimMembership = attrs.field(init=False)
     owners: OwnerTable = attrs.field(init=False)
     router: Router = attrs.field(init=False)
     fence: Fence = attrs.field(init=False)
     serving: trio.Event = attrs.field(factory=trio.Event)
     stopped: trio.Event = attrs.field(factory=trio.Event)
+    # Peers to ask when the platform is down at the start.
+    seeds: tuple[Address, ...] = ()
+    sleep: Callable[[float], Awaitable[None]] = trio.sleep
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
         self.store = DocumentStore(rule=self.guards.revision_rule())
-        self.membership = ListedMembership(
-            itself=self.settings.member,
+        self.fleet = Fleet(
+            settings=self.settings,
             platform=self.platform,
+            clock=self.clock,
+            rng=self.rng,
+            counters=self.counters,
+            keys=self.keys,
+            store=self.store,
+            sleep=self.sleep,
+            seeds=self.seeds,
         )
+        self.membership = self.fleet.membership
 
     async def run(self) -> None:
         """Learn first, then serve until cancelled."""
-        learner = PlatformLearner(
-            platform=self.platform,
-            store=self.store,
-            keys=self.keys,
-        )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(learner.run)
-            await learner.learned.wait()
-            await self.membership.refresh()
-            nursery.start_soon(self.membership.run)
-            await self.start_serving(nursery)
+            channel = await self.fleet.join(self.network, nursery)
+            await self.start_serving(nursery, channel)
             await self.stopped.wait()
             nursery.cancel_scope.cancel()
 
@@ -92,17 +96,12 @@
         )
         self.stopped.set()
 
-    async def start_serving(self, nursery: trio.Nursery) -> None:
-        """Open the sockets and start one task for each."""
-        channel = PeerChannel(
-            socket=await self.network.open_datagrams(self.settings.peer),
-            sealer=EnvelopeSealer(
-                sender=self.settings.name,
-                keys=self.keys,
-                clock=self.clock,
-            ),
-            counters=self.counters,
-        )
+    async def start_serving(
+        self,
+        nursery: trio.Nursery,
+        channel: PeerChannel,
+    ) -> None:
+        """Open the callers' socket and start one task for each."""
         self.owners = OwnerTable(
             members=self.membership,
             store=self.store,
@@ -113,7 +112,6 @@
             make_window=self.guards.window,
             succession=self.guards.succession(),
         )
-
         self.router = Router(
             members=self.membership,
             store=self.store,
@@ -135,7 +133,6 @@
         self.route_messages(channel)
         nursery.start_soon(self.fence.run)
         nursery.start_soon(self.owners.run)
-        nursery.start_soon(channel.run)
         nursery.start_soon(self.router.run)
         self.serving.set()
 
