--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -11,11 +11,13 @@
     HighestRevisionRule,
     RevisionRule,
 )
+from burdocksill.entry.stopping import GracefulStopper, Stopper
 from burdocksill.flows.placement import Placer, TwoChoicePlacer
 from burdocksill.membership.protocols import MemberView
 from burdocksill.ownership.fence import PauseFence
 from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
 from burdocksill.ownership.protocols import Fence
+from burdocksill.ownership.succession import RendezvousSuccession, Succession
 from burdocksill.platform.protocols import Platform
 from burdocksill.requests.retries import RetryBudget, ShareBudget
 from burdocksill.requests.window import RequestWindow, TokenWindow
@@ -73,6 +75,8 @@
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
     foreign: Callable[[], ForeignRule] = HonestForeignRule
+    succession: Callable[[], Succession] = RendezvousSuccession
+    stopper: Callable[[], Stopper] = GracefulStopper
     fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[Upstream, Random], Limiter] = adaptive_limiter
     leaving_rule: Callable[[Platform], LeavingRule] = listed_departures
--- a/burdocksill/requests/messages.py
+++ b/burdocksill/requests/messages.py
@@ -69,3 +69,5 @@
     hops: tuple[str, ...] = ()
     raw: bytes = b''
     refused: bool = False
+    # How often this VM has routed the packet again.
+    detours: int = 0
