--- a/burdocksill/documents/exceptions.py
+++ b/burdocksill/documents/exceptions.py
@@ -19,3 +19,9 @@
     """Say that there is no such document."""
 
     code = 'burdocksill.E203'
+
+
+class OutcomeUnknownError(BurdocksillError):
+    """Say that an edit may or may not have been accepted."""
+
+    code = 'burdocksill.E204'
--- a/burdocksill/documents/models.py
+++ b/burdocksill/documents/models.py
@@ -1,8 +1,8 @@
 """A service's document and the state of failure domains."""
 
 import enum
-import tomllib
-from typing import Any, Final
+import ipaddress
+from typing import Final
 
 import attrs
 import msgspec
@@ -12,6 +12,7 @@
 from burdocksill.network.protocols import Address
 
 DEFAULT_DEADLINE_SECONDS: Final = 10.0
+LONGEST_DEADLINE_SECONDS: Final = 3600
 DEFAULT_COLD_LIMIT: Final = 1
 NAME_LIMIT: Final = 63
 LARGEST_PORT: Final = 65535
@@ -114,33 +115,16 @@
     return msgspec.json.encode(document)
 
 
-def parse_document(text: str) -> ServiceDocument:
-    """Read a document as a team writes it, in TOML."""
-    try:
-        raw: dict[str, Any] = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise DocumentInvalidError(
-            message=f'the document is not TOML: {error}',
-            hint='mend the line that is named',
-        ) from error
-    try:
-        document = msgspec.convert(raw, ServiceDocument)
-    except msgspec.ValidationError as error:
-        raise DocumentInvalidError(
-            message=f'the document does not fit the schema: {error}',
-            hint='see docs/reference/document.md for names and types',
-        ) from error
-    validate(document)
-    return document
-
-
 def validate(document: ServiceDocument) -> None:
     """Raise an error that names the path, the wrong value and the cure."""
     require_name('service', document.service)
-    if document.deadline_seconds <= 0:
+    if not 0 < document.deadline_seconds <= LONGEST_DEADLINE_SECONDS:
         raise DocumentInvalidError(
             message=f'deadline_seconds is {document.deadline_seconds}',
-            hint='give a number of seconds above 0',
+            hint=(
+                'give a number of seconds above 0 and at most '
+                f'{LONGEST_DEADLINE_SECONDS}'
+            ),
         )
     if not document.upstreams:
         raise DocumentInvalidError(
@@ -163,6 +147,7 @@
     """Check one upstream of a document."""
     require_name(f'{path}.name', upstream.name)
     require_name(f'{path}.domain', upstream.domain)
+    require_address(f'{path}.host', upstream.host)
     require_range(f'{path}.port', upstream.port, LARGEST_PORT)
     for field in ('slots', 'connections', 'cold_limit'):
         require_range(f'{path}.{field}', getattr(upstream, field), None)
@@ -178,6 +163,17 @@
     )
 
 
+def require_address(path: str, host: str) -> None:
+    """Refuse what is not an IP number: VMs look up no names."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise DocumentInvalidError(
+            message=f'{path} is {host!r}',
+            hint='give an IP number, as in 10.0.0.7',
+        ) from error
+
+
 def require_range(path: str, number: int, largest: int | None) -> None:
     """Refuse a number below 1 or above the largest."""
     if number >= 1 and (largest is None or number <= largest):
--- a/burdocksill/management/commands/document.py
+++ b/burdocksill/management/commands/document.py
@@ -6,7 +6,7 @@
 
 from burdocksill.documents.acceptance import Accepted, put_document
 from burdocksill.documents.exceptions import DocumentMissingError
-from burdocksill.documents.models import parse_document
+from burdocksill.documents.schema import parse_document
 from burdocksill.management.running import run_command
 from burdocksill.platform.etcd import EtcdPlatform
 from burdocksill.platform.keys import document_key
--- a/burdocksill_lab/stand_ins/store.py
+++ b/burdocksill_lab/stand_ins/store.py
@@ -1,7 +1,7 @@
 """The stand-in platform's store, in memory."""
 
 import math
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 
 import attrs
 import msgspec
@@ -24,6 +24,8 @@
     down: bool = False
     # Each call takes so long before it is carried out.
     delay_seconds: float = 0
+    # An answer to a prefix is read at once and comes so much later.
+    late_answer: Callable[[], float] | None = None
     # So many writes take effect and their answers are lost.
     lost_answers: int = 0
     # Reads and the list answer from what was known at this revision.
@@ -89,7 +91,10 @@
         """Return all values below a prefix at one revision."""
         self.reads += 1
         await self.arrive()
-        return self.snapshot(prefix, self.faults.stale_at)
+        snapshot = self.snapshot(prefix, self.faults.stale_at)
+        if self.faults.late_answer is not None:
+            await trio.sleep(self.faults.late_answer())
+        return snapshot
 
     def snapshot(self, prefix: str, at: int | None) -> Snapshot:
         """Return what was below a prefix at a revision, now without one."""
--- /dev/null
+++ b/tests/steps/documents_dissemination.py
@@ -0,0 +1,220 @@
+"""Steps about dissemination."""
+
+import attrs
+import trio
+from behave import then, when
+from behave.runner import Context
+from fleet_story import check, tell, wait_for
+
+from burdocksill.documents.acceptance import delete_document, put_document
+from burdocksill.documents.models import (
+    ServiceDocument,
+    Upstream,
+    encode_document,
+)
+from burdocksill.flows.keys import decode_ring, encode_ring, rotate
+from burdocksill.platform import keys
+from burdocksill_lab.fakes.world import World
+
+SERVICE = 'kiosk-ledger'
+DOCUMENT = ServiceDocument(
+    service=SERVICE,
+    team='vratka',
+    upstreams=(
+        Upstream(
+            name='ledger-1',
+            domain='cz-a',
+            host='192.0.2.7',
+            port=8080,
+            slots=2,
+            connections=2000,
+        ),
+    ),
+)
+
+
+def deadlines(world: World) -> dict[str, float]:
+    """Return the deadline in force on each VM, 0 without a document."""
+    found = {}
+    for name, running in world.nodes.items():
+        document = running.node.store.services.get(SERVICE)
+        found[name] = document.deadline_seconds if document else 0
+    return found
+
+
+@when('the store accepts a deadline of {seconds:g} s')
+def accept_deadline(context: Context, seconds: float) -> None:
+    """Accept an edit."""
+
+    async def act(world: World) -> None:
+        document = attrs.evolve(DOCUMENT, deadline_seconds=seconds)
+        await put_document(world.platform, document)
+
+    tell(context, act)
+
+
+@when('the store accepts a deadline of {seconds:g} s over it')
+def accept_over(context: Context, seconds: float) -> None:
+    """Write over a record that nobody can read, as its tool would."""
+
+    async def act(world: World) -> None:
+        document = attrs.evolve(DOCUMENT, deadline_seconds=seconds)
+        key = keys.document_key(SERVICE)
+        world.platform.put(key, encode_document(document))
+
+    tell(context, act)
+
+
+@when('the store accepts a deletion')
+def accept_deletion(context: Context) -> None:
+    """Delete the document."""
+
+    async def act(world: World) -> None:
+        await delete_document(world.platform, SERVICE)
+
+    tell(context, act)
+
+
+@when('the store is given a document that nobody can read')
+def put_unreadable(context: Context) -> None:
+    """Write a broken record."""
+
+    async def act(world: World) -> None:
+        world.platform.put(keys.document_key(SERVICE), b'{"service": 1}')
+
+    tell(context, act)
+
+
+@when('the store goes down')
+def store_down(context: Context) -> None:
+    """Begin an outage."""
+
+    async def act(world: World) -> None:
+        world.platform.set_down(down=True)
+
+    tell(context, act)
+
+
+@when('the store comes back')
+def store_up(context: Context) -> None:
+    """End an outage."""
+
+    async def act(world: World) -> None:
+        world.platform.set_down(down=False)
+
+    tell(context, act)
+
+
+@when(
+    'the fleet\'s "{name}" is replaced with the fleet\'s keys in its settings'
+)
+def replace_with_keys(context: Context, name: str) -> None:
+    """Start a VM that has keys and its peers' addresses."""
+
+    async def act(world: World) -> None:
+        running = world.nodes[name]
+        world.kill_node(name)
+        world.begin_node(
+            name,
+            running.node.settings.domain,
+            seeds=tuple(
+                other.node.settings.peer for other in world.nodes.values()
+            ),
+            ring=running.node.keys.ring,
+        )
+
+    tell(context, act)
+
+
+@when('the fleet\'s "{name}" is cut off from all others and the store')
+def cut_off_store(context: Context, name: str) -> None:
+    """Cut a VM off from everything."""
+
+    async def act(world: World) -> None:
+        others = [
+            running.host for key, running in world.nodes.items() if key != name
+        ]
+        host = world.nodes[name].host
+        world.network.cut([host], [*others, 'platform'])
+
+    tell(context, act)
+
+
+@when("the fleet's keys rotate")
+def rotate_keys(context: Context) -> None:
+    """Rotate the keys in the store."""
+
+    async def act(world: World) -> None:
+        stored = world.platform.current[keys.FLEET_KEYS]
+        ring = rotate(decode_ring(stored.value))
+        world.platform.put(keys.FLEET_KEYS, encode_ring(ring))
+
+    tell(context, act)
+
+
+@then(
+    'within {seconds:g} s a deadline of {value:g} s is in force on the whole '
+    'fleet'
+)
+def check_deadline(context: Context, seconds: float, value: float) -> None:
+    """Check what is in force everywhere."""
+
+    async def act(world: World) -> None:
+        await wait_for(
+            seconds,
+            lambda: set(deadlines(world).values()) == {value},
+            lambda: deadlines(world),
+        )
+
+    check(context, act)
+
+
+@then('within {seconds:g} s no service is in force on the whole fleet')
+def check_deleted(context: Context, seconds: float) -> None:
+    """Check that a deletion is in force everywhere."""
+    check_deadline(context, seconds, 0)
+
+
+@then('the store gets at most {limit:g} calls a second from the fleet')
+def check_calls(context: Context, limit: float) -> None:
+    """Count the store's calls."""
+
+    async def act(world: World) -> None:
+        before = world.platform.reads
+        await trio.sleep(60)
+        calls = world.platform.reads - before
+        assert calls / 60 <= limit, calls
+
+    check(context, act)
+
+
+@then('within {seconds:g} s the fleet\'s "{name}" serves')
+def check_serves(context: Context, seconds: float, name: str) -> None:
+    """Check that a VM serves."""
+
+    async def act(world: World) -> None:
+        serving = world.nodes[name].node.serving
+        await wait_for(seconds, serving.is_set, lambda: name)
+
+    check(context, act)
+
+
+@then('the fleet\'s "{name}" does not serve')
+def check_silent(context: Context, name: str) -> None:
+    """Check that a VM does not serve."""
+
+    async def act(world: World) -> None:
+        assert not world.nodes[name].node.serving.is_set()
+
+    check(context, act)
+
+
+@then("the fleet's VMs all sign with the new key")
+def check_keys(context: Context) -> None:
+    """Check that the new key is everywhere."""
+
+    async def act(world: World) -> None:
+        rings = [running.node.keys.ring for running in world.nodes.values()]
+        assert {ring.current for ring in rings if ring} == {2}, rings
+
+    check(context, act)
