Leave members that announced their leave out of the quorum

Cause: the quorum counts every member probed in the last seconds. Ruled out: pauses (no VM was paused) and the handover. Change: a member that left or is leaving is missed by nobody. Conclusion: only silence that nobody announced speaks of a cut.

--- a/burdocksill/membership/quorum.py
+++ b/burdocksill/membership/quorum.py
@@ -80,11 +80,19 @@
         just_resumed = now - self.resumed_at < WINDOW_SECONDS
         if just_resumed:
             asked |= peers - {own.tag}
+        # Who announced its leave is missed by nobody: counting it would
+        # fence the rest of a domain whose VMs are replaced in turn.
+        asked = {tag for tag in asked if not self.has_left(tag)}
         heard = sum(self.heard_since(tag, since) for tag in asked)
         if len(asked) < SMALLEST and not just_resumed:
             return True
         return 2 * (heard + 1) > len(asked) + 1
 
+    def has_left(self, tag: bytes) -> bool:
+        """Return True for a member that left as planned."""
+        held = self.table.find(tag)
+        return held is None or held.left
+
     def heard_since(self, tag: bytes, since: float) -> bool:
         """Return True when a member was heard after a time."""
         held = self.table.find(tag)
--- a/burdocksill/membership/table.py
+++ b/burdocksill/membership/table.py
@@ -33,6 +33,8 @@
     member: Member
     since: float
     heard_at: float = -math.inf
+    # It announced its leave, and nothing else was heard of it since.
+    left: bool = False
 
     @property
     def state(self) -> MemberState:
@@ -85,6 +87,9 @@
             held.heard_at = -math.inf
         if before.state is not member.state:
             held.since = now
+        held.left = member.state is MemberState.LEAVING or (
+            held.left and member.state is MemberState.DEAD
+        )
         if member.tag == self.itself.tag:
             self.itself = member
         if before != member or visible(before) is not visible(member):
