Tell owners of leaving upstream VMs, and end moves that go round

Every VM polled the platform's list of VMs, so the store's calls grew with the fleet. Now only the VMs that watch the store follow the list, and tell the owner of each leaving upstream, again every half second.

A flow that was moved once is now taken by a busy cold upstream, a flow that has just come is not moved for balance, and a VM that is no owner passes a flow on to whom it takes for one.

--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -43,9 +43,13 @@
     )
 
 
-def listed_departures(platform: Platform) -> LeavingRule:
+def listed_departures(
+    platform: Platform,
+    watches: Callable[[], bool],
+    tell: Callable[[str], None],
+) -> LeavingRule:
     """Make what decides whether an upstream leaves."""
-    return DepartureList(platform=platform)
+    return DepartureList(platform=platform, watches=watches, tell=tell)
 
 
 def two_choices(
@@ -79,7 +83,10 @@
     stopper: Callable[[], Stopper] = GracefulStopper
     fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[Upstream, Random], Limiter] = adaptive_limiter
-    leaving_rule: Callable[[Platform], LeavingRule] = listed_departures
+    leaving_rule: Callable[
+        [Platform, Callable[[], bool], Callable[[str], None]],
+        LeavingRule,
+    ] = listed_departures
     retry_budget: Callable[[], RetryBudget] = ShareBudget
     placer: Callable[
         [MemberView, DocumentStore, Random, HintBook],
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -13,7 +13,7 @@
 from burdocksill.entry.fleet import Fleet
 from burdocksill.entry.guards import Guards
 from burdocksill.entry.router import Router
-from burdocksill.entry.upstreams import UpstreamBuilder
+from burdocksill.entry.upstreams import OwnerNotifier, UpstreamBuilder
 from burdocksill.flows.cookie import EPOCH_BYTES, SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
 from burdocksill.membership.swim import SwimMembership
@@ -38,6 +38,7 @@
 from burdocksill.platform.protocols import Platform
 from burdocksill.upstreams.departures import LeavingRule
 from burdocksill.upstreams.hints import HintBook
+from burdocksill.upstreams.messages import VmsLeaving
 
 
 @attrs.define(kw_only=True)
@@ -81,14 +82,12 @@
             sleep=self.sleep,
             seeds=self.seeds,
         )
-        self.leaving_rule = self.guards.leaving_rule(self.platform)
         self.membership = self.fleet.membership
 
     async def run(self) -> None:
         """Learn first, then serve until cancelled."""
         async with trio.open_nursery() as nursery:
             channel = await self.fleet.join(self.network, nursery)
-            nursery.start_soon(self.leaving_rule.run)
             await self.start_serving(nursery, channel)
             await self.stopped.wait()
             nursery.cancel_scope.cancel()
@@ -118,6 +117,8 @@
             succession=self.guards.succession(),
         )
         self.hints = HintBook(own=self.owners.hints)
+        self.fleet.hints.source = self.hints
+        self.fleet.hints.sink = self.hints
         self.router = Router(
             members=self.membership,
             store=self.store,
@@ -136,6 +137,17 @@
             counters=self.counters,
             nursery=nursery,
         )
+        notifier = OwnerNotifier(
+            members=self.membership,
+            store=self.store,
+            channel=channel,
+        )
+        self.leaving_rule = self.guards.leaving_rule(
+            self.platform,
+            self.membership.reads_list,
+            notifier.tell_leaving,
+        )
+        nursery.start_soon(self.leaving_rule.run)
         self.builder = UpstreamBuilder(
             network=self.network,
             guards=self.guards,
@@ -158,6 +170,7 @@
         channel.handlers.update(
             {
                 RelayRequest: self.router.take_relayed,
+                VmsLeaving: self.leaving_rule.take_leaving,
                 HandoverRequest: exchange.take_request,
                 HandoverNone: exchange.take_none,
                 HandoverPart: exchange.take_part,
--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -52,8 +52,8 @@
 
     placement: Placement
     load: float
-    # False when no fresh hint tells the load, which then counts as none.
-    known: bool
+    # True when a fresh hint says that there is room for new flows.
+    roomy: bool
 
 
 @attrs.define(kw_only=True)
@@ -79,11 +79,9 @@
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one."""
         self.hints.refresh_own()
-        found = [
-            one
-            for one in self.candidates(document, avoid)
-            if one.load < below and (one.known or math.isinf(below))
-        ]
+        found = self.candidates(document, avoid)
+        if math.isfinite(below):
+            found = [one for one in found if one.roomy and one.load < below]
         home = self.members.itself.domain
         near = self.choose(
             [one for one in found if one.placement.upstream.domain == home],
@@ -125,7 +123,7 @@
             candidate = Candidate(
                 placement=Placement(upstream=upstream, owner=owner),
                 load=self.load(held, upstream),
-                known=held is not None,
+                roomy=held is not None and has_room(held),
             )
             usable.append(candidate)
             if has_room(held):
--- a/burdocksill/membership/hints.py
+++ b/burdocksill/membership/hints.py
@@ -13,8 +13,9 @@
 from burdocksill.upstreams.messages import UpstreamHint
 from burdocksill.upstreams.protocols import HintSink, HintSource
 
-# owner tag, service tag, upstream tag, age in tenths, free, slots, flags.
-HINT: Final = struct.Struct(f'>{TAG_BYTES}s{TAG_BYTES}s{TAG_BYTES}sBHHB')
+# owner tag, service tag, upstream tag, age in tenths, free, slots, flows,
+# flags.
+HINT: Final = struct.Struct(f'>{TAG_BYTES}s{TAG_BYTES}s{TAG_BYTES}sBHHHB')
 HINTS_PER_MESSAGE: Final = 5
 OWN_PER_MESSAGE: Final = 3
 COLD: Final = 1
@@ -105,6 +106,7 @@
             steps,
             min(max(hint.free_slots, 0), LARGEST),
             min(hint.slots, LARGEST),
+            min(hint.flows, LARGEST),
             flags,
         )
 
@@ -127,6 +129,7 @@
         key: HintKey,
         free: int,
         slots: int,
+        flows: int,
         flags: int,
     ) -> UpstreamHint | None:
         """Read one hint, None when the documents do not name its upstream."""
@@ -141,6 +144,7 @@
             slots=slots,
             cold=bool(flags & COLD),
             leaving=bool(flags & LEAVING),
+            flows=flows,
         )
 
     def keep(self, key: HintKey, hint: UpstreamHint, written_at: float) -> None:
--- a/burdocksill/peers/messages.py
+++ b/burdocksill/peers/messages.py
@@ -14,6 +14,7 @@
     HandoverSettled,
     HandoverSettledAck,
 )
+from burdocksill.upstreams.messages import VmsLeaving
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +126,7 @@
         13: SequenceFloor,
         14: RecordPull,
         15: RecordChunk,
+        20: VmsLeaving,
         2: HandoverRequest,
         3: HandoverNone,
         4: HandoverPart,
--- a/burdocksill/upstreams/admission.py
+++ b/burdocksill/upstreams/admission.py
@@ -129,7 +129,8 @@
             return Reason.UPSTREAM_SHED
         if not self.client.connected:
             return Reason.UPSTREAM_DOWN
-        if self.limiter.cold and not self.limiter.free:
+        busy = self.limiter.cold and not self.limiter.free
+        if busy and not envelope.refused:
             return Reason.UPSTREAM_COLD
         return None
 
@@ -159,22 +160,31 @@
             sent = self.elsewhere(envelope, upstream.name)
             reason = Reason.UPSTREAM_SHED
         else:
-            sent = self.rebalances(envelope, upstream)
+            sent = self.rebalances(envelope, flow_id, upstream)
             reason = Reason.OVERLOADED
         if sent:
             self.flows.close(flow_id)
             self.count('flows_sent_away', upstream, reason)
         return sent
 
-    def rebalances(self, envelope: Envelope, upstream: Upstream) -> bool:
+    def rebalances(
+        self,
+        envelope: Envelope,
+        flow_id: bytes,
+        upstream: Upstream,
+    ) -> bool:
         """Open a flow at an upstream that is known to hold fewer.
 
         Flows last for hours: without this an upstream that comes back stays
-        idle beside those that took its flows. The budget keeps it slow.
+        idle beside those that took its flows. The budget keeps it slow, and a
+        flow that has only just come stays: owners would send it round.
         """
-        if self.limiter.free or not self.budget.affords():
+        now = trio.current_time()
+        if self.limiter.free or not self.flows.settled(flow_id, now):
+            return False
+        if not self.budget.affords():
             return False
-        flows = self.flows.count(trio.current_time())
+        flows = self.flows.count(now)
         below = flows / upstream.slots * REBALANCE_FACTOR
         if not self.elsewhere(envelope, upstream.name, below):
             return False
--- a/burdocksill/upstreams/flows.py
+++ b/burdocksill/upstreams/flows.py
@@ -32,6 +32,10 @@
         self.until.pop(flow_id, None)
         self.until[flow_id] = now + self.lifetime_seconds
 
+    def settled(self, flow_id: bytes, now: float) -> bool:
+        """Return True for a flow that has sent a request here before."""
+        return self.until.get(flow_id, 0) - now > UNUSED_SECONDS
+
     def close(self, flow_id: bytes) -> None:
         """Stop counting a flow that was moved elsewhere."""
         self.until.pop(flow_id, None)
--- a/burdocksill/upstreams/messages.py
+++ b/burdocksill/upstreams/messages.py
@@ -41,6 +41,13 @@
     flows: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class VmsLeaving:
+    """Tell an owner which upstream VMs the platform lists as leaving."""
+
+    hosts: tuple[str, ...]
+
+
 @attrs.frozen(kw_only=True)
 class Identity:
     """Hold who an upstream says it is; a restart makes a new instance."""
--- a/burdocksill_lab/measure_upstreams/deployments.py
+++ b/burdocksill_lab/measure_upstreams/deployments.py
@@ -8,10 +8,7 @@
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill_lab.fakes.world import World
 
-JOIN_SECONDS: Final = 2.5
-# Owners tell their hints this often; each VM hears them a little later.
-HINT_SECONDS: Final = 1.0
-HINT_DELAY_SECONDS: Final = 0.2
+JOIN_SECONDS: Final = 6.0
 WORK_SECONDS: Final = 0.1
 
 
@@ -109,20 +106,5 @@
             domain = deployment.domain_of(index)
             name = f'{domain}-entry-{index}'
             nursery.start_soon(world.start_node, name, domain)
-    world.require_nursery().start_soon(carry_hints, world)
     await trio.sleep(JOIN_SECONDS)
     return Running(deployment=deployment, world=world, upstreams=upstreams)
-
-
-async def carry_hints(world: World) -> None:
-    """Carry every owner's hints to all others, late, as gossip would."""
-    while True:
-        told = {
-            name: running.node.hints.hints()
-            for name, running in world.nodes.items()
-        }
-        await trio.sleep(HINT_DELAY_SECONDS)
-        for running in world.nodes.values():
-            for owner, hints in told.items():
-                running.node.hints.take_hints(owner, hints)
-        await trio.sleep(HINT_SECONDS - HINT_DELAY_SECONDS)
--- a/burdocksill_lab/proofs/upstream_leaving.py
+++ b/burdocksill_lab/proofs/upstream_leaving.py
@@ -1,5 +1,6 @@
 """Prove that an upstream that starts to leave soon receives no new work."""
 
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -7,9 +8,9 @@
 
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.entry.guards import Guards
-from burdocksill.platform.protocols import VmRecord, VmState
+from burdocksill.platform.protocols import Platform, VmRecord, VmState
 from burdocksill.requests.verdict import Verdict
-from burdocksill.upstreams.departures import NeverLeaving
+from burdocksill.upstreams.departures import LeavingRule, NeverLeaving
 from burdocksill.upstreams.health import HealthState
 from burdocksill_lab.fakes.deterministic import run_seeded
 from burdocksill_lab.fakes.world import World, open_world
@@ -28,7 +29,7 @@
 PAUSE_SECONDS: Final = 0.3
 # Long enough that each upstream has work in progress when it leaves.
 WORK_SECONDS: Final = 0.15
-JOIN_SECONDS: Final = 2.0
+JOIN_SECONDS: Final = 4.0
 WARM_SECONDS: Final = 4.0
 GAP_SECONDS: Final = 3.0
 ALLOWED_SECONDS: Final = 2.0
@@ -79,7 +80,9 @@
             stand_in.work_seconds = WORK_SECONDS
         await self.put_document()
         for domain in DOMAINS:
-            await self.world.start_node(f'{domain}-entry-1', domain)
+            for number in range(1, 6):
+                name = f'{domain}-entry-{number}'
+                await self.world.start_node(name, domain)
         # The VMs have to know of each other before callers come.
         await trio.sleep(JOIN_SECONDS)
 
@@ -139,6 +142,15 @@
         return max(arrivals, default=0) - self.left[name]
 
 
+def never_leaving(
+    platform: Platform,
+    watches: Callable[[], bool],
+    tell: Callable[[str], None],
+) -> LeavingRule:
+    """Make the naive baseline that takes no notice of who leaves."""
+    return NeverLeaving()
+
+
 @attrs.define(kw_only=True)
 class UpstreamLeavingProof:
     """Look for requests at upstreams that left, and for flows that broke."""
@@ -152,9 +164,7 @@
         """Run the story; the control takes no notice of who leaves."""
         guards = Guards()
         if control:
-            guards = Guards(
-                leaving_rule=lambda platform: NeverLeaving(platform=platform),
-            )
+            guards = Guards(leaving_rule=never_leaving)
 
         async def story() -> ProofResult:
             async with open_world(seed, guards=guards) as world:
