Carry departures of upstream VMs by gossip instead of polling on every VM

Ruled out: the watchers (their calls had not changed). Change: the few watchers watch the list and put the departures into a record that gossip carries. Conclusion: what every VM must know goes through the watchers.

--- a/burdocksill/documents/dissemination.py
+++ b/burdocksill/documents/dissemination.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from burdocksill.documents.departures import DepartureReader
 from burdocksill.documents.models import Versioned
 from burdocksill.documents.store import DocumentStore
 from burdocksill.exceptions import BurdocksillError
@@ -86,6 +87,7 @@
         follow_on = partial(self.follow_changes, snapshot.revision + 1)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.end_watch, nursery.cancel_scope)
+            nursery.start_soon(self.attempt, self.follow_departures)
             await self.attempt(follow_on)
             nursery.cancel_scope.cancel()
 
@@ -99,6 +101,26 @@
             async for change in changes:
                 self.take(change)
 
+    async def follow_departures(self) -> None:
+        """Tell the fleet which upstream VMs the platform lists as leaving."""
+        reader = DepartureReader()
+        snapshot = await self.platform.read_prefix(keys.VMS)
+        listed = sorted(snapshot.values, key=lambda stored: stored.revision)
+        for stored in listed:
+            self.take_departures(reader.take(stored))
+        changes = self.platform.watch(
+            prefix=keys.VMS,
+            from_revision=snapshot.revision + 1,
+        )
+        async with aclosing(changes):
+            async for change in changes:
+                self.take_departures(reader.take(change))
+
+    def take_departures(self, departures: Versioned | None) -> None:
+        """Put changed departures into force."""
+        if departures is not None:
+            self.store.offer(departures)
+
     async def end_watch(self, scope: trio.CancelScope) -> None:
         """End the watch once others of the domain rank before this VM."""
         await trio.sleep(RETRY_SECONDS)
--- a/burdocksill/documents/store.py
+++ b/burdocksill/documents/store.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from burdocksill.documents.departures import DeparturesRecord
 from burdocksill.documents.models import (
     DomainRecord,
     DomainState,
@@ -57,6 +58,8 @@
     records: dict[str, Versioned] = attrs.field(factory=dict)
     services: dict[str, ServiceDocument] = attrs.field(factory=dict)
     domains: dict[str, DomainRecord] = attrs.field(factory=dict)
+    # Hosts of upstream VMs that the platform lists as leaving.
+    departing: frozenset[str] = frozenset()
     # The revision of each key that the views above show.
     in_force: dict[str, int] = attrs.field(factory=dict)
     unreadable: set[str] = attrs.field(factory=set)
@@ -97,6 +100,12 @@
         elif offered.key.startswith(keys.DOMAINS):
             record = msgspec.json.decode(offered.value, type=DomainRecord)
             self.domains[record.domain] = record
+        elif offered.key == keys.DEPARTURES:
+            departures = msgspec.json.decode(
+                offered.value,
+                type=DeparturesRecord,
+            )
+            self.departing = frozenset(departures.hosts)
 
     def is_out(self, domain: str) -> bool:
         """Return True when operators took the failure domain out."""
--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -18,11 +18,10 @@
 from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
 from burdocksill.ownership.protocols import Fence
 from burdocksill.ownership.succession import RendezvousSuccession, Succession
-from burdocksill.platform.protocols import Platform
 from burdocksill.requests.retries import RetryBudget, ShareBudget
 from burdocksill.requests.window import RequestWindow, TokenWindow
 from burdocksill.upstreams.client import NameVerifier
-from burdocksill.upstreams.departures import DepartureList, LeavingRule
+from burdocksill.upstreams.departures import AnyWordRule, LeavingRule
 from burdocksill.upstreams.hints import HintBook
 from burdocksill.upstreams.limits import make_limiter
 from burdocksill.upstreams.protocols import IdentityVerifier, Limiter
@@ -43,9 +42,9 @@
     )
 
 
-def listed_departures(platform: Platform) -> LeavingRule:
+def any_word_rule(store: DocumentStore) -> LeavingRule:
     """Make what decides whether an upstream leaves."""
-    return DepartureList(platform=platform)
+    return AnyWordRule(store=store)
 
 
 def two_choices(
@@ -79,7 +78,7 @@
     stopper: Callable[[], Stopper] = GracefulStopper
     fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[Upstream, Random], Limiter] = adaptive_limiter
-    leaving_rule: Callable[[Platform], LeavingRule] = listed_departures
+    leaving_rule: Callable[[DocumentStore], LeavingRule] = any_word_rule
     retry_budget: Callable[[], RetryBudget] = ShareBudget
     placer: Callable[
         [MemberView, DocumentStore, Random, HintBook],
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -81,14 +81,13 @@
             sleep=self.sleep,
             seeds=self.seeds,
         )
-        self.leaving_rule = self.guards.leaving_rule(self.platform)
+        self.leaving_rule = self.guards.leaving_rule(self.store)
         self.membership = self.fleet.membership
 
     async def run(self) -> None:
         """Learn first, then serve until cancelled."""
         async with trio.open_nursery() as nursery:
             channel = await self.fleet.join(self.network, nursery)
-            nursery.start_soon(self.leaving_rule.run)
             await self.start_serving(nursery, channel)
             await self.stopped.wait()
             nursery.cancel_scope.cancel()
--- a/burdocksill/platform/keys.py
+++ b/burdocksill/platform/keys.py
@@ -6,6 +6,8 @@
 DOCUMENTS: Final = '/burdocksill/documents/'
 DOMAINS: Final = '/burdocksill/domains/'
 FLEET_KEYS: Final = '/burdocksill/keys'
+# Never written to the store: the watchers make it from the list of VMs.
+DEPARTURES: Final = '/burdocksill/departures'
 # The platform itself writes this prefix; burdocksill only reads it.
 VMS: Final = '/platform/vms/'
 
--- a/burdocksill_lab/proofs/upstream_leaving.py
+++ b/burdocksill_lab/proofs/upstream_leaving.py
@@ -153,7 +153,7 @@
         guards = Guards()
         if control:
             guards = Guards(
-                leaving_rule=lambda platform: NeverLeaving(platform=platform),
+                leaving_rule=lambda store: NeverLeaving(store=store),
             )
 
         async def story() -> ProofResult:
