--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -13,7 +13,7 @@
 from burdocksill.entry.fleet import Fleet
 from burdocksill.entry.guards import Guards
 from burdocksill.entry.router import Router
-from burdocksill.entry.upstreams import OwnerNotifier, UpstreamBuilder
+from burdocksill.entry.upstreams import UpstreamBuilder
 from burdocksill.flows.cookie import EPOCH_BYTES, SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
 from burdocksill.membership.swim import SwimMembership
@@ -38,7 +38,6 @@
 from burdocksill.platform.protocols import Platform
 from burdocksill.upstreams.departures import LeavingRule
 from burdocksill.upstreams.hints import HintBook
-from burdocksill.upstreams.messages import VmsLeaving
 
 
 @attrs.define(kw_only=True)
@@ -82,6 +81,7 @@
             sleep=self.sleep,
             seeds=self.seeds,
         )
+        self.leaving_rule = self.guards.leaving_rule(self.store)
         self.membership = self.fleet.membership
 
     async def run(self) -> None:
@@ -137,17 +137,6 @@
             counters=self.counters,
             nursery=nursery,
         )
-        notifier = OwnerNotifier(
-            members=self.membership,
-            store=self.store,
-            channel=channel,
-        )
-        self.leaving_rule = self.guards.leaving_rule(
-            self.platform,
-            self.membership.reads_list,
-            notifier.tell_leaving,
-        )
-        nursery.start_soon(self.leaving_rule.run)
         self.builder = UpstreamBuilder(
             network=self.network,
             guards=self.guards,
@@ -170,7 +159,6 @@
         channel.handlers.update(
             {
                 RelayRequest: self.router.take_relayed,
-                VmsLeaving: self.leaving_rule.take_leaving,
                 HandoverRequest: exchange.take_request,
                 HandoverNone: exchange.take_none,
                 HandoverPart: exchange.take_part,
--- a/burdocksill_lab/proofs/upstream_leaving.py
+++ b/burdocksill_lab/proofs/upstream_leaving.py
@@ -1,6 +1,5 @@
 """Prove that an upstream that starts to leave soon receives no new work."""
 
-from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -8,9 +7,9 @@
 
 from burdocksill.documents.models import ServiceDocument, Upstream
 from burdocksill.entry.guards import Guards
-from burdocksill.platform.protocols import Platform, VmRecord, VmState
+from burdocksill.platform.protocols import VmRecord, VmState
 from burdocksill.requests.verdict import Verdict
-from burdocksill.upstreams.departures import LeavingRule, NeverLeaving
+from burdocksill.upstreams.departures import NeverLeaving
 from burdocksill.upstreams.health import HealthState
 from burdocksill_lab.fakes.deterministic import run_seeded
 from burdocksill_lab.fakes.world import World, open_world
@@ -142,15 +141,6 @@
         return max(arrivals, default=0) - self.left[name]
 
 
-def never_leaving(
-    platform: Platform,
-    watches: Callable[[], bool],
-    tell: Callable[[str], None],
-) -> LeavingRule:
-    """Make the naive baseline that takes no notice of who leaves."""
-    return NeverLeaving()
-
-
 @attrs.define(kw_only=True)
 class UpstreamLeavingProof:
     """Look for requests at upstreams that left, and for flows that broke."""
@@ -164,7 +154,9 @@
         """Run the story; the control takes no notice of who leaves."""
         guards = Guards()
         if control:
-            guards = Guards(leaving_rule=never_leaving)
+            guards = Guards(
+                leaving_rule=lambda store: NeverLeaving(store=store),
+            )
 
         async def story() -> ProofResult:
             async with open_world(seed, guards=guards) as world:
