--- a/burdocksill/upstreams/client.py
+++ b/burdocksill/upstreams/client.py
@@ -25,6 +25,7 @@
     poll,
 )
 from burdocksill.upstreams.identity import identify
+from burdocksill.upstreams.limits import CONNECTION_LOST, NEW_INSTANCE
 from burdocksill.upstreams.messages import (
     Identity,
     UpstreamAnswer,
@@ -153,8 +154,7 @@
         self.identity = seen
         if known is not None and known.instance != seen.instance:
             self.state = HealthState.READY
-            self.limiter.forget_orphans()
-            self.start_cold('new-instance')
+            self.start_cold(NEW_INSTANCE)
 
     def settle_end(self, connection: UpstreamConnection) -> float:
         """Learn from how a connection ended; return when to reconnect."""
@@ -165,7 +165,7 @@
             self.count('connections_gone_away')
             return RECONNECT_SECONDS
         self.count('connections_lost')
-        self.start_cold('connection-lost')
+        self.start_cold(CONNECTION_LOST)
         return 0
 
     def start_cold(self, cause: str) -> None:
--- a/burdocksill/upstreams/limits.py
+++ b/burdocksill/upstreams/limits.py
@@ -3,8 +3,9 @@
 import logging
 import math
 from collections import deque
-from collections.abc import AsyncGenerator, Iterable
+from collections.abc import AsyncGenerator, Iterable, Iterator
 from contextlib import asynccontextmanager
+from itertools import islice
 from random import Random
 from typing import Final
 
@@ -17,10 +18,14 @@
 from burdocksill.upstreams.exceptions import ConnectionSilentError
 from burdocksill.upstreams.latency import Latency
 from burdocksill.upstreams.ramp import Ramp
+from burdocksill.upstreams.turns import expected_turns
 from burdocksill.upstreams.unseen import UnseenWork
 
 # The queue is short: a request waits at most for a few rounds of the slots.
 QUEUE_ROUNDS: Final = 4
+# Causes of a cold start that say more than that it is one.
+CONNECTION_LOST: Final = 'connection-lost'
+NEW_INSTANCE: Final = 'new-instance'
 
 logger = logging.getLogger(__name__)
 
@@ -31,7 +36,7 @@
 
     give_up_at: float
     decided: trio.Event = attrs.field(factory=trio.Event)
-    granted: bool = False
+    granted_at: float | None = None
 
 
 @attrs.define(kw_only=True)
@@ -47,12 +52,18 @@
     ramp: Ramp
     backlog: Backlog
     latency: Latency = attrs.field(factory=Latency)
-    busy: int = 0
+    # When each request that holds a slot got it.
+    running: list[float] = attrs.field(factory=list)
     waiting: deque[Waiter] = attrs.field(factory=deque)
     unseen: UnseenWork = attrs.field(factory=UnseenWork)
     silent_until: float = -math.inf
     shed_until: float = -math.inf
 
+    @property
+    def busy(self) -> int:
+        """Return how many requests hold a slot."""
+        return len(self.running)
+
     @property
     def cold(self) -> bool:
         """Return True while the upstream may not have all its slots."""
@@ -82,8 +93,7 @@
     @asynccontextmanager
     async def slot(self, *, deadline: float) -> AsyncGenerator[None, None]:
         """Hold one slot, or raise RequestFailedError (not run)."""
-        await self.acquire(deadline)
-        started = trio.current_time()
+        started = await self.acquire(deadline)
         try:
             yield
         except ConnectionSilentError:
@@ -95,10 +105,10 @@
         else:
             self.take_success(trio.current_time() - started)
         finally:
-            self.busy -= 1
+            self.running.remove(started)
             self.admit_waiting()
 
-    async def acquire(self, deadline: float) -> None:
+    async def acquire(self, deadline: float) -> float:
         """Take a slot now, queue for one, or refuse at once."""
         now = trio.current_time()
         if now < self.silent_until:
@@ -106,15 +116,16 @@
         if now < self.shed_until:
             raise self.refusal(Reason.UPSTREAM_SHED, self.shed_until - now)
         if not self.waiting and self.occupied() < self.ramp.limit:
-            self.busy += 1
-            return
+            self.running.append(now)
+            return now
         give_up_at = deadline - self.latency.fast
         full = len(self.waiting) >= QUEUE_ROUNDS * self.ramp.limit
-        if full or now + self.expected_wait(len(self.waiting)) > give_up_at:
+        turn = next(islice(self.turns(), len(self.waiting), None))
+        if full or turn >= give_up_at:
             raise self.refusal(Reason.OVERLOADED)
-        await self.queue(Waiter(give_up_at=give_up_at))
+        return await self.queue(Waiter(give_up_at=give_up_at))
 
-    async def queue(self, waiter: Waiter) -> None:
+    async def queue(self, waiter: Waiter) -> float:
         """Wait for a slot until it would come too late."""
         self.waiting.append(waiter)
         try:
@@ -126,52 +137,49 @@
                 self.admit_waiting()
         except BaseException:
             # The caller cancelled; a slot granted meanwhile goes on.
-            if waiter.granted:
-                self.busy -= 1
+            if waiter.granted_at is not None:
+                self.running.remove(waiter.granted_at)
             elif waiter in self.waiting:
                 self.waiting.remove(waiter)
             self.admit_waiting()
             raise
-        if not waiter.granted:
+        if waiter.granted_at is None:
             raise self.refusal(Reason.OVERLOADED)
+        return waiter.granted_at
 
     def admit_waiting(self) -> None:
         """Hand free slots to the queue and refuse whose turn is too late."""
         self.drop_hopeless()
         while self.waiting and self.occupied() < self.ramp.limit:
             waiter = self.waiting.popleft()
-            waiter.granted = trio.current_time() < waiter.give_up_at
-            self.busy += int(waiter.granted)
+            waiter.granted_at = trio.current_time()
+            self.running.append(waiter.granted_at)
             waiter.decided.set()
 
     def drop_hopeless(self) -> None:
-        """Refuse at once the waiters that a lower limit makes too late."""
-        now = trio.current_time()
+        """Refuse at once the waiters whose turn would come too late."""
         kept: deque[Waiter] = deque()
-        if self.paused:
-            # They can be retried elsewhere; here they would only wait.
-            for waiter in self.waiting:
-                waiter.decided.set()
-            self.waiting = kept
-            return
+        turns = self.turns()
+        turn = next(turns)
         for waiter in self.waiting:
-            if now + self.expected_wait(len(kept)) < waiter.give_up_at:
+            # While nothing is admitted they can only be tried elsewhere.
+            if turn < waiter.give_up_at and not self.paused:
                 kept.append(waiter)
+                turn = next(turns)
             else:
                 waiter.decided.set()
         self.waiting = kept
 
-    def expected_wait(self, ahead: int) -> float:
-        """Return how long a request behind others waits for its slot."""
-        now = trio.current_time()
-        unseen = self.unseen.until()
-        usable = self.ramp.limit - len(unseen)
-        if usable <= 0:
-            # The first slot comes free when the upstream's own deadline ends
-            # the work that nobody waits for.
-            until = unseen[-usable] if -usable < len(unseen) else now
-            return until - now + ahead * self.latency.fast
-        return (ahead + 1) * self.latency.fast / usable
+    def turns(self) -> Iterator[float]:
+        """Yield when each waiter may expect its slot."""
+        seconds = self.latency.fast
+        ends = [started + seconds for started in self.running]
+        return expected_turns(
+            now=trio.current_time(),
+            ends=[*ends, *self.unseen.until()],
+            slots=self.ramp.limit,
+            seconds=seconds,
+        )
 
     def take_success(self, seconds: float) -> None:
         """Learn from a whole answer."""
@@ -200,7 +208,10 @@
         """Go back to the cold limit, after a silence where one is needed."""
         now = trio.current_time()
         self.silent_until = max(self.silent_until, now + silence_seconds)
-        self.ramp.start(now, fallen=cause == 'connection-lost')
+        self.ramp.start(now, fallen=cause == CONNECTION_LOST)
+        if cause == NEW_INSTANCE:
+            # Another instance runs none of the work of the one before.
+            self.unseen.clear()
         self.drop_hopeless()
         logger.info(
             'cold start',
@@ -222,11 +233,6 @@
         self.unseen.settle(key)
         self.admit_waiting()
 
-    def forget_orphans(self) -> None:
-        """Drop orphaned work: a new instance runs none of it."""
-        self.unseen.clear()
-        self.admit_waiting()
-
     def take_report(self, bearable: int) -> None:
         """Take what the upstream says it can bear at once."""
         self.ramp.take_report(bearable, trio.current_time())
@@ -291,9 +297,6 @@
     def settle_adopted(self, key: bytes) -> None:
         """Count nothing that the owner before had in progress."""
 
-    def forget_orphans(self) -> None:
-        """Have no orphaned work."""
-
     def take_report(self, bearable: int) -> None:
         """Take no notice of reports."""
 
--- a/burdocksill/upstreams/protocols.py
+++ b/burdocksill/upstreams/protocols.py
@@ -84,9 +84,6 @@
     def settle_adopted(self, key: bytes) -> None:
         """Stop counting one request of the owner before: it has ended."""
 
-    def forget_orphans(self) -> None:
-        """Drop orphaned work: a new instance runs none of it."""
-
     def take_report(self, bearable: int) -> None:
         """Take what the upstream says it can bear at once."""
 
