--- a/burdocksill_lab/commands/demo.py
+++ b/burdocksill_lab/commands/demo.py
@@ -1,5 +1,6 @@
 """The command `burdocksill-lab demo`: the whole path in separate processes."""
 
+import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -24,9 +25,7 @@
 )
 
 DOMAINS: Final = ('cz-a', 'cz-b', 'cz-c')
-CALLER_PORT: Final = 5683
-PEER_PORT: Final = 5690
-ADMIN_PORT: Final = 5691
+FABRIC_HOST: Final = '127.0.100.1'
 REQUESTS: Final = (
     ('kiosk-ledger', 'GET', 'confirmations/today', ''),
     ('kiosk-ledger', 'POST', 'returns', '{"kiosk": 17, "returns": 4}'),
@@ -105,15 +104,7 @@
         await wait_for_port(self.platform)
         client = EtcdPlatform(endpoint=self.platform_url)
         for index, domain in enumerate(DOMAINS, start=1):
-            record = VmRecord(
-                name=f'{domain}-entry-1',
-                domain=domain,
-                role='entry',
-                host=f'127.0.{index}.1',
-                caller_port=CALLER_PORT,
-                peer_port=PEER_PORT,
-                admin_port=ADMIN_PORT,
-            )
+            record = entry_record(domain, f'127.0.{index}.1')
             self.entries[record.name] = record
             await client.swap(
                 key=keys.VMS + record.name,
@@ -180,13 +171,14 @@
 
     async def start_fabric(self) -> Address:
         """Start the fabric in front of the entry VMs."""
-        address = Address('127.0.100.1', CALLER_PORT)
+        port = free_port(FABRIC_HOST, socket.SOCK_DGRAM)
+        address = Address(FABRIC_HOST, port)
         arguments = ['burdocksill-lab', 'fabric', '--listen', str(address)]
         for record in self.entries.values():
             entry = f'{record.host}:{record.caller_port}'
             arguments.extend(['--entry', entry])
         self.group.start('fabric', arguments)
-        await trio.sleep(1)
+        await wait_for_line(self.group, 'fabric', 'serving')
         return address
 
     def stop(self) -> None:
@@ -200,6 +192,19 @@
         self.group.stop_all()
 
 
+def entry_record(domain: str, host: str) -> VmRecord:
+    """Describe an entry VM on free ports, so that demos can run at once."""
+    return VmRecord(
+        name=f'{domain}-entry-1',
+        domain=domain,
+        role='entry',
+        host=host,
+        caller_port=free_port(host, socket.SOCK_DGRAM),
+        peer_port=free_port(host, socket.SOCK_DGRAM),
+        admin_port=free_port(host),
+    )
+
+
 @click.command()
 def demo() -> None:
     """Send requests through three entry VMs in three failure domains."""
--- a/burdocksill_lab/commands/stand_ins.py
+++ b/burdocksill_lab/commands/stand_ins.py
@@ -5,6 +5,7 @@
 import click
 import trio
 
+from burdocksill.conf.logs import configure_logging
 from burdocksill.conf.settings import parse_address
 from burdocksill.network.sockets import SocketNetwork
 from burdocksill_lab.stand_ins.fabric import Fabric
@@ -36,6 +37,7 @@
 @click.option('--seed', default=1, show_default=True)
 def fabric(listen: str, entries: tuple[str, ...], seed: int) -> None:
     """Run a fabric that sprays packets over entry VMs."""
+    configure_logging(level='INFO')
     stand_in = Fabric(
         network=SocketNetwork(),
         listen=parse_address('--listen', listen),
--- a/burdocksill_lab/processes.py
+++ b/burdocksill_lab/processes.py
@@ -34,9 +34,12 @@
     return str(Path(sys.executable).parent / name)
 
 
-def free_port(host: str) -> int:
-    """Return a TCP port that is free now, picked by the kernel."""
-    with socket.socket() as probe:
+def free_port(
+    host: str,
+    kind: socket.SocketKind = socket.SOCK_STREAM,
+) -> int:
+    """Return a port that is free now, picked by the kernel."""
+    with socket.socket(type=kind) as probe:
         probe.bind((host, 0))
         port: int = probe.getsockname()[1]
         return port
--- a/burdocksill_lab/stand_ins/fabric.py
+++ b/burdocksill_lab/stand_ins/fabric.py
@@ -1,5 +1,6 @@
 """A stand-in fabric that sprays each packet over the entry VMs."""
 
+import logging
 from random import Random
 
 import attrs
@@ -12,6 +13,8 @@
     Network,
 )
 
+logger = logging.getLogger(__name__)
+
 
 @attrs.define(kw_only=True)
 class Fabric:
@@ -30,6 +33,7 @@
     async def run(self) -> None:
         """Forward until cancelled."""
         front = await self.network.open_datagrams(self.listen)
+        logger.info('serving', extra={'listen': str(front.local)})
         async with trio.open_nursery() as nursery:
             while True:
                 for datagram in await front.receive():
