Measure entry processes on loopback, with bounds on ratios and counts

`burdocksill-lab bench` starts an owner, a relay, an upstream and the platform as processes and loads them from a caller that patches tokens and cookies into a datagram the codec wrote once.

--- /dev/null
+++ b/burdocksill_lab/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure real entry processes on loopback."""
--- /dev/null
+++ b/burdocksill_lab/bench/measure.py
@@ -0,0 +1,215 @@
+"""The phases of a bench and what each of them measures."""
+
+import itertools
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from burdocksill_lab.bench.fleet import (
+    HOST_PREFIX,
+    OWNER,
+    RELAY,
+    SERVICE,
+    BenchFleet,
+)
+from burdocksill_lab.bench.load import LoadCaller, LoadResult, make_template
+from burdocksill_lab.bench.usage import Usage, microseconds_each
+
+CALLER_HOST: Final = f'{HOST_PREFIX}.9.1'
+UNDER_WAY: Final = 32
+P50: Final = 50.0
+P99: Final = 99.0
+P999: Final = 99.9
+
+
+@attrs.frozen(kw_only=True)
+class Sizes:
+    """Hold how much a bench does."""
+
+    flows: int
+    requests: int
+    held: tuple[int, ...]
+    datagrams: int
+
+
+QUICK: Final = Sizes(
+    flows=2000,
+    requests=2000,
+    held=(1000, 4000),
+    datagrams=6400,
+)
+FULL: Final = Sizes(
+    flows=10_000,
+    requests=10_000,
+    held=(1000, 10_000, 100_000),
+    datagrams=64_000,
+)
+
+
+@attrs.frozen(kw_only=True)
+class PhaseFigures:
+    """Hold one phase of load on one entry VM."""
+
+    name: str
+    sent: int
+    ran: int
+    refused: int
+    unanswered: int
+    rate: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    owner_microseconds: float
+    relay_microseconds: float
+
+
+@attrs.frozen(kw_only=True)
+class HeldFigures:
+    """Hold what a number of held flows costs."""
+
+    flows: int
+    owner_bytes_each: float
+    relay_bytes_each: float
+    request_microseconds: float
+
+
+@attrs.define(kw_only=True)
+class Bench:
+    """Run the phases against one fleet."""
+
+    fleet: BenchFleet
+    sizes: Sizes
+    phases: list[PhaseFigures] = attrs.field(factory=list)
+    held: list[HeldFigures] = attrs.field(factory=list)
+    cookies: list[bytes] = attrs.field(factory=list)
+
+    def run(self) -> None:
+        """Run all phases, one after the other."""
+        at_owner = self.caller(OWNER)
+        at_relay = self.caller(RELAY)
+        self.open_flows('warm-up', at_owner, self.sizes.flows // 10)
+        self.phases.clear()
+        self.open_flows('new flows at their owner', at_owner)
+        self.open_flows('new flows through a relay', at_relay)
+        self.send('requests at their owner', at_owner)
+        self.send('requests through a relay', at_relay)
+        self.send('one request at a time', at_owner, under_way=1)
+        self.hold(at_owner)
+        at_owner.close()
+        at_relay.close()
+
+    def caller(self, name: str) -> LoadCaller:
+        """Open a caller of one entry VM."""
+        return LoadCaller(
+            server=self.fleet.caller_address(name),
+            host=CALLER_HOST,
+        )
+
+    def open_flows(
+        self,
+        name: str,
+        caller: LoadCaller,
+        count: int | None = None,
+    ) -> None:
+        """Open flows without a request on them."""
+        template = make_template(SERVICE, with_cookie=False)
+        before = self.usages()
+        done = caller.open_flows(template, count or self.sizes.flows)
+        self.note(name, done, before)
+        self.cookies = done.cookies
+
+    def send(
+        self,
+        name: str,
+        caller: LoadCaller,
+        *,
+        under_way: int = UNDER_WAY,
+    ) -> None:
+        """Send requests of the flows that were opened last."""
+        template = make_template(SERVICE, with_cookie=True)
+        count = self.sizes.requests
+        if under_way == 1:
+            count //= 4
+        before = self.usages()
+        done = caller.run(
+            template,
+            self.some_cookies(count),
+            under_way=under_way,
+        )
+        self.note(name, done, before)
+
+    def some_cookies(self, count: int) -> Iterable[bytes]:
+        """Return the cookies in turn."""
+        return itertools.islice(itertools.cycle(self.cookies), count)
+
+    def hold(self, caller: LoadCaller) -> None:
+        """Raise the held flows level by level, one request on each."""
+        empty = self.usages()
+        known = 0
+        for level in self.sizes.held:
+            template = make_template(SERVICE, with_cookie=False)
+            done = caller.open_flows(template, level - known)
+            known = level
+            self.cookies = done.cookies
+            template = make_template(SERVICE, with_cookie=True)
+            tail = min(len(self.cookies), self.sizes.requests // 4)
+            caller.run(template, self.cookies[tail:], under_way=UNDER_WAY)
+            before = self.usages()
+            caller.run(template, self.cookies[:tail], under_way=UNDER_WAY)
+            after = self.usages()
+            self.held.append(
+                HeldFigures(
+                    flows=level,
+                    owner_bytes_each=bytes_each(empty, after, OWNER, level),
+                    relay_bytes_each=bytes_each(empty, after, RELAY, level),
+                    request_microseconds=microseconds_each(
+                        before[OWNER],
+                        after[OWNER],
+                        tail,
+                    ),
+                ),
+            )
+
+    def usages(self) -> dict[str, Usage]:
+        """Read both entry VMs."""
+        return {name: self.fleet.usage(name) for name in (OWNER, RELAY)}
+
+    def note(
+        self,
+        name: str,
+        done: LoadResult,
+        before: dict[str, Usage],
+    ) -> None:
+        """Keep a phase's figures."""
+        after = self.usages()
+        owner, relay = (
+            microseconds_each(before[known], after[known], done.sent)
+            for known in (OWNER, RELAY)
+        )
+        self.phases.append(
+            PhaseFigures(
+                name=name,
+                sent=done.sent,
+                ran=done.ran,
+                refused=done.refused,
+                unanswered=done.unanswered,
+                rate=done.rate,
+                p50_ms=done.percentile(P50),
+                p99_ms=done.percentile(P99),
+                p999_ms=done.percentile(P999),
+                owner_microseconds=owner,
+                relay_microseconds=relay,
+            ),
+        )
+
+
+def bytes_each(
+    before: dict[str, Usage],
+    after: dict[str, Usage],
+    name: str,
+    count: int,
+) -> float:
+    """Return the bytes by which a process grew for each flow."""
+    grown = after[name].resident_bytes - before[name].resident_bytes
+    return grown / count
--- a/burdocksill_lab/commands/demo.py
+++ b/burdocksill_lab/commands/demo.py
@@ -17,6 +17,7 @@
 from burdocksill.platform.protocols import VmRecord
 from burdocksill_lab.processes import (
     ProcessGroup,
+    entry_record,
     free_port,
     process_group,
     run_program,
@@ -104,7 +105,7 @@
         await wait_for_port(self.platform)
         client = EtcdPlatform(endpoint=self.platform_url)
         for index, domain in enumerate(DOMAINS, start=1):
-            record = entry_record(domain, f'127.0.{index}.1')
+            record = entry_record(f'{domain}-entry-1', f'127.0.{index}.1')
             self.entries[record.name] = record
             await client.swap(
                 key=keys.VMS + record.name,
@@ -192,19 +193,6 @@
         self.group.stop_all()
 
 
-def entry_record(domain: str, host: str) -> VmRecord:
-    """Describe an entry VM on free ports, so that demos can run at once."""
-    return VmRecord(
-        name=f'{domain}-entry-1',
-        domain=domain,
-        role='entry',
-        host=host,
-        caller_port=free_port(host, socket.SOCK_DGRAM),
-        peer_port=free_port(host, socket.SOCK_DGRAM),
-        admin_port=free_port(host),
-    )
-
-
 @click.command()
 def demo() -> None:
     """Send requests through three entry VMs in three failure domains."""
--- a/burdocksill_lab/commands/stand_ins.py
+++ b/burdocksill_lab/commands/stand_ins.py
@@ -10,7 +10,11 @@
 from burdocksill.network.sockets import SocketNetwork
 from burdocksill_lab.stand_ins.fabric import Fabric
 from burdocksill_lab.stand_ins.gateway import serve_gateway
-from burdocksill_lab.stand_ins.upstream import StandInUpstream, serve_upstream
+from burdocksill_lab.stand_ins.upstream import (
+    DEFAULT_WORK_SECONDS,
+    StandInUpstream,
+    serve_upstream,
+)
 
 
 @click.command()
@@ -25,9 +29,26 @@
 @click.option('--service', required=True)
 @click.option('--name', required=True)
 @click.option('--slots', default=2, show_default=True)
-def upstream(listen: str, service: str, name: str, slots: int) -> None:
+@click.option(
+    '--work-seconds',
+    default=DEFAULT_WORK_SECONDS,
+    show_default=True,
+    help='How long each request takes.',
+)
+def upstream(
+    listen: str,
+    service: str,
+    name: str,
+    slots: int,
+    work_seconds: float,
+) -> None:
     """Run one upstream."""
-    stand_in = StandInUpstream(service=service, name=name, slots=slots)
+    stand_in = StandInUpstream(
+        service=service,
+        name=name,
+        slots=slots,
+        work_seconds=work_seconds,
+    )
     trio.run(serve_upstream, stand_in, parse_address('--listen', listen))
 
 
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -6,6 +6,7 @@
 
 from burdocksill import VERSION
 from burdocksill.exceptions import BurdocksillError
+from burdocksill_lab.commands.bench import bench
 from burdocksill_lab.commands.demo import demo
 from burdocksill_lab.commands.prove import prove
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
@@ -20,6 +21,7 @@
 
 
 group.add_command(demo)
+group.add_command(bench)
 group.add_command(platform)
 group.add_command(upstream)
 group.add_command(fabric)
--- a/burdocksill_lab/processes.py
+++ b/burdocksill_lab/processes.py
@@ -7,7 +7,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Final
@@ -17,6 +17,7 @@
 
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.network.protocols import Address
+from burdocksill.platform.protocols import VmRecord
 
 STOP_SECONDS: Final = 10.0
 POLL_SECONDS: Final = 0.05
@@ -45,6 +46,19 @@
         return port
 
 
+def entry_record(name: str, host: str) -> VmRecord:
+    """Describe an entry VM on free ports, so that runs do not collide."""
+    return VmRecord(
+        name=name,
+        domain=name.rpartition('-entry-')[0],
+        role='entry',
+        host=host,
+        caller_port=free_port(host, socket.SOCK_DGRAM),
+        peer_port=free_port(host, socket.SOCK_DGRAM),
+        admin_port=free_port(host),
+    )
+
+
 @attrs.define(kw_only=True)
 class ProcessGroup:
     """Hold the processes that one run started, by name."""
@@ -52,7 +66,13 @@
     running: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
     logs: Path
 
-    def start(self, name: str, arguments: list[str]) -> None:
+    def start(
+        self,
+        name: str,
+        arguments: list[str],
+        *,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         """Start a program; its log goes to a file of its name."""
         log = self.logs / f'{name}.log'
         with log.open('ab') as sink:
@@ -60,6 +80,7 @@
                 [program(arguments[0]), *arguments[1:]],
                 stdout=sink,
                 stderr=sink,
+                env=environment,
             )
 
     def stop(self, name: str) -> int:
