Run both deployments under load and faults on the fakes

It reports broken flows, imbalance, answers in each second, verdicts and reasons, and checks what the callers were told against the upstreams' ledgers; a doubled, lost, mixed or misreported request ends it with 1. Unique paths tell every answer from every other.

An error inside of a task came out as a traceback of nested groups; the program shows its code and cure.

--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -1,6 +1,7 @@
 """The program burdocksill-lab: stand-ins, demo, proofs and benches."""
 
 import sys
+from collections.abc import Iterator
 
 import click
 
@@ -9,6 +10,7 @@
 from burdocksill_lab.commands.bench import bench
 from burdocksill_lab.commands.demo import demo
 from burdocksill_lab.commands.prove import prove
+from burdocksill_lab.commands.run import run
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
 
 EXIT_FAILED = 2
@@ -26,12 +28,24 @@
 group.add_command(upstream)
 group.add_command(fabric)
 group.add_command(prove)
+group.add_command(run)
 
 
 def main() -> None:
     """Run the command line; an error ends it with its code and cure."""
     try:
         group()
-    except BurdocksillError as error:
-        click.echo(str(error), err=True)
+    except* BurdocksillError as errors:
+        # Errors of tasks arrive in groups of groups; each is shown once.
+        for error in leaves(errors):
+            click.echo(str(error), err=True)
         sys.exit(EXIT_FAILED)
+
+
+def leaves(errors: BaseExceptionGroup) -> Iterator[BaseException]:
+    """Return the errors inside of nested groups."""
+    for error in errors.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from leaves(error)
+        else:
+            yield error
--- /dev/null
+++ b/burdocksill_lab/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments of today's sizes under load and faults, on the fakes."""
