--- a/burdocksill_lab/commands/bench.py
+++ b/burdocksill_lab/commands/bench.py
@@ -12,8 +12,7 @@
 import msgspec
 import trio
 
-from burdocksill_lab.bench.fleet import HOST_PREFIX, open_fleet
-from burdocksill_lab.bench.measure import FULL, QUICK, Bench, Sizes
+from burdocksill_lab.bench.measure import FULL, PLAN, QUICK, Bench, Sizes
 from burdocksill_lab.bench.plots import plot
 from burdocksill_lab.bench.receive import (
     drained_microseconds,
@@ -31,6 +30,7 @@
     current_revision,
     revision_of,
 )
+from burdocksill_lab.fleet import HOST_PREFIX, open_fleet
 
 RECEIVE_HOST = f'{HOST_PREFIX}.9.2'
 
@@ -102,7 +102,8 @@
 async def run_fleet(sizes: Sizes, source: str) -> Bench:
     """Run the phases on a fleet of its own."""
     with temporary_folder() as folder:
-        async with open_fleet(folder, source=source) as fleet:
+        plan = attrs.evolve(PLAN, source=source)
+        async with open_fleet(folder, plan) as fleet:
             done = Bench(fleet=fleet, sizes=sizes)
             done.run()
     return done
--- a/burdocksill_lab/stand_ins/gateway.py
+++ b/burdocksill_lab/stand_ins/gateway.py
@@ -11,6 +11,7 @@
 from hypercorn.trio import serve
 
 from burdocksill.network.protocols import Address
+from burdocksill.platform import keys
 from burdocksill.platform.protocols import StoredValue
 from burdocksill_lab.stand_ins.store import MemoryPlatform
 
@@ -52,6 +53,7 @@
         calls = {
             '/v3/kv/range': self.range,
             '/v3/kv/put': self.put,
+            '/v3/kv/deleterange': self.delete,
             '/v3/kv/txn': self.txn,
         }
         call = calls.get(path)
@@ -84,6 +86,12 @@
         self.platform.put(key, base64.b64decode(body['value']))
         return {'header': self.header()}
 
+    async def delete(self, body: Body) -> Body:
+        """Take one VM off the list, as the platform does when it is gone."""
+        name = text_of(body['key']).removeprefix(keys.VMS)
+        self.platform.drop_vm(name)
+        return {'header': self.header()}
+
     async def txn(self, body: Body) -> Body:
         """Compare and swap."""
         put = body['success'][0]['request_put']
