--- a/burdocksill/callers/session.py
+++ b/burdocksill/callers/session.py
@@ -38,7 +38,7 @@
         Reason.BODY_INCOMPLETE,
     )
 )
-# The cookie leads nowhere any more; the next request opens a new flow.
+# Who knew the request is gone; an idempotent one may run elsewhere.
 DEAD_COOKIE_REASONS: Final = frozenset(
     (Reason.OWNER_LOST, Reason.EPOCH_CLOSED, Reason.COOKIE_INVALID)
 )
@@ -178,10 +178,10 @@
 
     def keep_cookie(self, answer: Answer) -> None:
         """Keep the cookie of an answer for the requests to come."""
-        if answer.cookie:
+        if answer.cookie or answer.reason is not None:
+            # A refusal without a cookie says that the one we hold leads
+            # nowhere any more: the next request starts afresh.
             self.cookie = answer.cookie
-        elif answer.reason in DEAD_COOKIE_REASONS:
-            self.cookie = b''
 
     def new_request(
         self,
--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -6,13 +6,26 @@
 import attrs
 
 from burdocksill.documents.store import HighestRevisionRule, RevisionRule
-from burdocksill.requests.blocks import AnswerKeeper, TaggedAnswers
+from burdocksill.membership.protocols import MemberView
+from burdocksill.ownership.fence import PauseFence
+from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
+from burdocksill.ownership.protocols import Fence
+from burdocksill.requests.blocks import (
+    AnswerKeeper,
+    TaggedAnswers,
+    Transfers,
+)
 from burdocksill.requests.window import RequestWindow, TokenWindow
 from burdocksill.upstreams.client import NameVerifier
 from burdocksill.upstreams.limits import SlotLimiter
 from burdocksill.upstreams.protocols import IdentityVerifier, Limiter
 
 
+def pause_fence(members: MemberView) -> Fence:
+    """Make the fence of a node."""
+    return PauseFence(members=members)
+
+
 def slot_limiter(slots: int) -> Limiter:
     """Make the limiter of an upstream."""
     return SlotLimiter(slots=slots)
@@ -34,5 +47,11 @@
     window: Callable[[], RequestWindow] = TokenWindow
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
+    foreign: Callable[[], ForeignRule] = HonestForeignRule
+    fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[int], Limiter] = slot_limiter
     answers: Callable[[Random], AnswerKeeper] = tagged_answers
+
+    def transfers(self, rng: Random) -> Transfers:
+        """Make what one VM holds of answers and bodies in transfer."""
+        return Transfers(answers=self.answers(rng))
--- a/burdocksill/requests/verdict.py
+++ b/burdocksill/requests/verdict.py
@@ -37,3 +37,7 @@
     ANSWER_LOST = 'answer-lost'
     BODY_INCOMPLETE = 'body-incomplete'
     BODY_TOO_LARGE = 'body-too-large'
+    ANSWER_DROPPED = 'answer-dropped'
+    OWNER_FENCED = 'owner-fenced'
+    WINDOW_FULL = 'window-full'
+    TOKEN_REUSED = 'token-reused'
--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -199,11 +199,14 @@
         if self.exchanges.pop(stream_id, None) is None or self.closed:
             return
         self.state.reset_stream(stream_id, h2.errors.ErrorCodes.CANCEL)
+        with trio.CancelScope(shield=True), trio.move_on_after(1):
+            await self.flush_if_open()
+
+    async def flush_if_open(self) -> None:
+        """Send what is queued; a stream that is gone needs no cancelling."""
         try:
-            with trio.CancelScope(shield=True), trio.move_on_after(1):
-                await self.flush()
+            await self.flush()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The connection ended first, and with it the stream.
             self.closed = True
 
     async def send_request(
--- a/burdocksill_lab/stand_ins/upstream.py
+++ b/burdocksill_lab/stand_ins/upstream.py
@@ -63,7 +63,7 @@
                 'instance': self.instance,
             }
             return StandInAnswer(status=200, payload=json.dumps(identity))
-        await trio.sleep(self.work_seconds)
+        # Noted before the work: whatever may have had an effect counts.
         self.ledger.append(
             LedgerEntry(
                 method=request.headers[':method'],
@@ -72,6 +72,7 @@
                 flow=request.headers.get('burdocksill-flow', ''),
             ),
         )
+        await trio.sleep(self.work_seconds)
         size = statement_size(path)
         if size:
             whole = statement(by=self.name, run=len(self.ledger), size=size)
--- a/tests/steps/requests_blocks.py
+++ b/tests/steps/requests_blocks.py
@@ -97,7 +97,7 @@
         (name,) = (
             name
             for name, running in world.nodes.items()
-            if running.node.transfers.answers.unfetched()
+            if running.node.router.transfers.answers.unfetched()
         )
         world.kill_node(name)
         world.platform.current.pop(keys.VMS + name)
