Bound answers to unverified addresses, freshen cookies, cancel requests

Cause: any answer went to whatever address a datagram named; a session idle for long learned only from a non-idempotent request that its owner was gone; a caller that gave up left its request running. Change: a cookie counts for the address it was given to; other answers stay within three times their request, shortened first and withheld at last. The caller library exchanges a cookie older than 60 s before such a request, and sends option 65084 when it gives up. Our entries of problem documents stand in a map under a URI, as RFC 9290 asks.

--- a/burdocksill/callers/session.py
+++ b/burdocksill/callers/session.py
@@ -19,13 +19,21 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.network.protocols import Address, DatagramSocket, Network
 from burdocksill.requests.codec import decode_answer, encode_request
-from burdocksill.requests.messages import Answer, Block, CallerRequest
+from burdocksill.requests.messages import (
+    COOKIE_PATH,
+    Answer,
+    Block,
+    CallerRequest,
+)
 from burdocksill.requests.verdict import Reason, Verdict
 
 TOKEN_BYTES: Final = 8
 MESSAGE_IDS: Final = 65536
 DEFAULT_TIMEOUT_SECONDS: Final = 10.0
 COOKIE_ATTEMPTS: Final = 4
+# Before a request that is not idempotent, an older cookie is exchanged: its
+# owner may be gone, and nobody could then say that the request was not run.
+FRESH_COOKIE_SECONDS: Final = 60.0
 # How often an idempotent request starts again when blocks of it are lost.
 FETCH_ATTEMPTS: Final = 3
 UNAUTHORIZED: Final = 'UNAUTHORIZED'
@@ -36,6 +44,7 @@
         Reason.COOKIE_INVALID,
         Reason.COOKIE_EXPIRED,
         Reason.BODY_INCOMPLETE,
+        Reason.ADDRESS_CHANGED,
     )
 )
 # Who knew the request is gone; an idempotent one may run elsewhere.
@@ -74,6 +83,7 @@
     rng: Random
     wants_hops: bool = False
     cookie: bytes = b''
+    cookie_at: float = 0
     pending: dict[bytes, AnswerTaker] = attrs.field(factory=dict)
     block_trip: RoundTrip = attrs.field(factory=RoundTrip)
 
@@ -119,16 +129,21 @@
         self, request: CallerRequest
     ) -> tuple[CallerRequest, Answer]:
         """Return the request that was answered and its answer."""
+        verdict = Verdict.NOT_RUN
         with trio.move_on_after(request.timeout_seconds):
             for _ in range(COOKIE_ATTEMPTS):
+                await self.freshen_cookie(request)
                 request = self.renew(request)
+                # Nobody dispatches a request that has no cookie.
+                if request.cookie:
+                    verdict = Verdict.MAY_HAVE_RUN
                 answer = await self.send_body(request)
                 self.keep_cookie(answer)
                 if not may_repeat(request, answer):
                     break
             return request, answer
         raise CallFailedError(
-            verdict=Verdict.MAY_HAVE_RUN,
+            verdict=verdict,
             reason=Reason.DEADLINE_PASSED,
             message=f'no answer within {request.timeout_seconds} s',
         )
@@ -183,12 +198,21 @@
             return attrs.evolve(failure, verdict=Verdict.NOT_RUN)
         return await self.attempt(body.final_request(), RoundTrip())
 
+    async def freshen_cookie(self, request: CallerRequest) -> None:
+        """Exchange an ageing cookie before a request that may run once."""
+        age = trio.current_time() - self.cookie_at
+        if request.idempotent or not self.cookie or age < FRESH_COOKIE_SECONDS:
+            return
+        exchange = self.new_request('GET', COOKIE_PATH, b'', 0)
+        self.keep_cookie(await self.attempt(exchange, RoundTrip()))
+
     def keep_cookie(self, answer: Answer) -> None:
         """Keep the cookie of an answer for the requests to come."""
         if answer.cookie or answer.reason is not None:
             # A refusal without a cookie says that the one we hold leads
             # nowhere any more: the next request starts afresh.
             self.cookie = answer.cookie
+            self.cookie_at = trio.current_time()
 
     def new_request(
         self,
@@ -246,10 +270,19 @@
                 repeats += 1
         finally:
             self.pending.pop(request.token, None)
+            if call.answer is None:
+                self.cancel(request)
         if repeats == 1:
             roundtrip.measure(trio.current_time() - started)
         return call.answer
 
+    def cancel(self, request: CallerRequest) -> None:
+        """Tell the owner once that nobody waits for a request any more."""
+        part = request.block1 is not None and request.block1.more
+        if not part and request.block2 is None:
+            cancelling = attrs.evolve(request, cancels=True)
+            self.socket.send(encode_request(cancelling), self.server)
+
 
 def may_repeat(request: CallerRequest, answer: Answer) -> bool:
     """Return True when a request may be sent anew with the newest cookie."""
--- a/burdocksill/callers/transfers.py
+++ b/burdocksill/callers/transfers.py
@@ -14,6 +14,8 @@
 # RFC 9177, section 7.2 (MAX_PAYLOADS): blocks under way before a pause.
 BLOCKS_IN_FLIGHT: Final = 10
 BLOCK_BYTES: Final = 1024
+# One with the cookie of the former address, one with that of the new.
+ADDRESS_ATTEMPTS: Final = 2
 CONTINUE: Final = 'CONTINUE'
 
 # Sends one request until its answer arrives.
@@ -63,10 +65,14 @@
     async def carry(self, block: Block) -> Answer | None:
         """Carry one block; return an answer only when it failed."""
         with trio.move_on_after(self.timeout_seconds):
-            answer = await self.attempt(
-                self.make_request(block), self.roundtrip
-            )
-            return None if self.accept(block, answer) else answer
+            for _ in range(ADDRESS_ATTEMPTS):
+                request = self.make_request(block)
+                answer = await self.attempt(request, self.roundtrip)
+                if self.accept(block, answer):
+                    return None
+                if answer.reason is not Reason.ADDRESS_CHANGED:
+                    break
+            return answer
         return Answer(
             code='GATEWAY_TIMEOUT',
             verdict=Verdict.MAY_HAVE_RUN,
@@ -106,6 +112,8 @@
 
     def accept(self, block: Block, answer: Answer) -> bool:
         """Take a block of this answer."""
+        if answer.reason is Reason.ADDRESS_CHANGED and answer.cookie:
+            self.request = attrs.evolve(self.request, cookie=answer.cookie)
         if answer.reason is not None or answer.etag != self.first.etag:
             return False
         if answer.block2 is None or answer.block2.number != block.number:
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -8,7 +8,13 @@
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.flows.cookie import Cookie, CookieAge, CookieSealer, name_tag
+from burdocksill.flows.cookie import (
+    Cookie,
+    CookieAge,
+    CookieSealer,
+    address_tag,
+    name_tag,
+)
 from burdocksill.flows.exceptions import CookieInvalidError
 from burdocksill.flows.placement import Placer
 from burdocksill.membership.protocols import Member, MemberView
@@ -25,7 +31,11 @@
 from burdocksill.peers.envelope import Opened
 from burdocksill.peers.messages import RelayRequest
 from burdocksill.requests.blocks import Transfers
-from burdocksill.requests.codec import decode_request, encode_answer
+from burdocksill.requests.codec import (
+    decode_request,
+    encode_answer,
+    encode_short_answer,
+)
 from burdocksill.requests.exceptions import (
     MalformedDatagramError,
     RequestFailedError,
@@ -36,6 +46,7 @@
 
 # Relay, former owner, heir and one more; a longer way is a loop.
 HOP_LIMIT: Final = 4
+AMPLIFICATION: Final = 3
 
 
 @attrs.define(kw_only=True)
@@ -123,7 +134,7 @@
         if cookie is None:
             self.place(envelope, document)
         else:
-            self.follow(envelope, cookie)
+            self.follow(verify(envelope, cookie), cookie)
 
     def place(self, envelope: Envelope, document: ServiceDocument) -> None:
         """Choose an upstream for a new flow and go to its owner."""
@@ -215,7 +226,8 @@
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
-            self.nursery.start_soon(owned.enter, envelope, cookie)
+            checked = verify(envelope, cookie)
+            self.nursery.start_soon(owned.enter, checked, cookie)
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -253,6 +265,25 @@
         self.channel.send(message, peer)
 
     def reply(self, envelope: Envelope, answer: Answer) -> None:
-        """Send an answer straight to the caller."""
+        """Send an answer straight to the caller.
+
+        Anybody can write any address into a datagram. Until a cookie came
+        back from there, an answer has at most three times the size of its
+        request (RFC 7252, section 11.3), so that nobody is flooded by us.
+        """
         encoded = encode_answer(envelope.request, answer)
+        most = AMPLIFICATION * len(envelope.raw)
+        if not envelope.verified and len(encoded) > most:
+            self.counters.add('answers_shortened')
+            encoded = encode_short_answer(envelope.request, answer)
+            if len(encoded) > most:
+                self.counters.add('answers_withheld')
+                return
         self.socket.send(encoded, envelope.caller)
+
+
+def verify(envelope: Envelope, cookie: Cookie | None) -> Envelope:
+    """Mark a request whose cookie was given to the address it comes from."""
+    if cookie is None or cookie.address_tag != address_tag(envelope.caller):
+        return envelope
+    return attrs.evolve(envelope, verified=True)
--- a/burdocksill/ownership/feeds.py
+++ b/burdocksill/ownership/feeds.py
@@ -161,6 +161,9 @@
             request=request,
             caller=Address(described.caller_host, described.caller_port),
             hops=hops,
+            # The former owner sent there before; a stranger would not have
+            # kept the feed alive by its registrations.
+            verified=True,
         )
         feed = Feed(
             envelope=envelope,
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -26,6 +27,7 @@
 from burdocksill.ownership.protocols import CallerLink, Fence
 from burdocksill.ownership.side_requests import SideRequests
 from burdocksill.requests.blocks import Transfers
+from burdocksill.requests.cancellation import Cancellations
 from burdocksill.requests.dispatch import Dispatcher
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.feeds import is_feed
@@ -108,6 +110,7 @@
     ready: trio.Event = attrs.field(factory=trio.Event)
     heir: Member | None = None
     waiting: list[Envelope] = attrs.field(factory=list)
+    cancellations: Cancellations = attrs.field(factory=Cancellations)
     progress: InProgress = attrs.field(factory=InProgress)
     # Called with epoch, key and answer of each request that ends here.
     on_settled: Callable[[bytes, RequestKey, Answer], None] | None = None
@@ -184,11 +187,14 @@
         table: EpochTable,
     ) -> None:
         """Dispatch a request of an epoch held here once, answer every copy."""
-        if is_feed(envelope.request) and self.heir is None:
+        feeds = is_feed(envelope.request) and envelope.verified
+        if feeds and self.heir is None:
             await self.feeds.serve(envelope, cookie)
             return
         key = request_key(cookie.flow_id, envelope.request.token)
         claim = self.claim(envelope, table, key)
+        if claim.state is ClaimState.RUNNING and envelope.request.cancels:
+            self.cancellations.cancel(key)
         if claim.state is not ClaimState.FRESH:
             self.answer_copy(envelope, claim)
             return
@@ -199,7 +205,10 @@
             self.refuse_sealed(envelope, cookie)
             return
         with self.progress.one():
-            answer = await self.attempt(envelope, cookie)
+            answer = await self.cancellations.run(
+                key,
+                partial(self.attempt, envelope, cookie),
+            )
         self.settle(table, key, answer)
         self.finish(envelope, answer)
 
@@ -296,6 +305,17 @@
 
     async def dispatch(self, envelope: Envelope, cookie: Cookie) -> Answer:
         """Run a claimed request, unless its cookie or this VM forbids it."""
+        if envelope.request.cancels:
+            # The cancellation has overtaken the request itself.
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.CANCELLED,
+            )
+        if not envelope.verified:
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.ADDRESS_CHANGED,
+            )
         if cookie.age(self.clock.now()) is not CookieAge.VALID:
             raise RequestFailedError(
                 verdict=Verdict.NOT_RUN,
--- a/burdocksill/ownership/side_requests.py
+++ b/burdocksill/ownership/side_requests.py
@@ -1,7 +1,5 @@
 """Requests that an owner answers by itself: they run nothing."""
 
-from typing import Final
-
 import attrs
 
 from burdocksill.flows.cookie import Cookie
@@ -10,12 +8,9 @@
 from burdocksill.ownership.protocols import CallerLink
 from burdocksill.requests.blocks import Transfers
 from burdocksill.requests.exceptions import RequestFailedError
-from burdocksill.requests.messages import Answer, Envelope
+from burdocksill.requests.messages import COOKIE_PATH, Answer, Envelope
 from burdocksill.requests.refusals import refusal
-from burdocksill.requests.verdict import Verdict
-
-# A GET of this path brings a fresh cookie and nothing else.
-COOKIE_PATH: Final = ('.well-known', 'burdocksill', 'cookie')
+from burdocksill.requests.verdict import Reason, Verdict
 
 
 @attrs.define(kw_only=True)
@@ -56,4 +51,11 @@
         """Return what a request asks for, None when it has to run."""
         if envelope.request.path == COOKIE_PATH:
             return Answer(code='VALID', verdict=Verdict.RAN)
-        return self.transfers.part(cookie.flow_id, envelope.request)
+        answer = self.transfers.part(cookie.flow_id, envelope.request)
+        if answer is None or envelope.verified:
+            return answer
+        raise RequestFailedError(
+            verdict=answer.verdict,
+            reason=Reason.ADDRESS_CHANGED,
+            message='go on with the cookie for your new address',
+        )
--- a/burdocksill/requests/codec.py
+++ b/burdocksill/requests/codec.py
@@ -4,9 +4,12 @@
 documents of errors follow RFC 9290.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, Final
 
 import aiocoap
+import attrs
 import cbor2
 from aiocoap import Code, Message
 from aiocoap.error import Error as CoapError
@@ -26,14 +29,47 @@
 OPTION_CANCEL: Final = 65084
 OPTION_HOPS: Final = 65116
 PROBLEM_FORMAT: Final = 257
-# Keys of a problem document; positive ones are ours.
+# Keys of a problem document (RFC 9290, sections 2 and 2.2): entries of our
+# own stand in a map of their own under a URI.
 PROBLEM_TITLE: Final = -1
 PROBLEM_DETAIL: Final = -2
+PROBLEM_REQUEST: Final = 'tag:burdocksill,2026:request'
 PROBLEM_VERDICT: Final = 'verdict'
 PROBLEM_REASON: Final = 'reason'
 MS_PER_SECOND: Final = 1000
 
 
+@attrs.frozen(kw_only=True)
+class Problem:
+    """Hold what a problem document says of a request."""
+
+    verdict: Verdict
+    reason: Reason | None
+    detail: str = ''
+
+
+NOT_RUN_PROBLEM: Final = Problem(
+    verdict=Verdict.NOT_RUN,
+    reason=Reason.BAD_REQUEST,
+)
+SHORT_PROBLEMS: Final[Mapping[str, Problem]] = MappingProxyType(
+    {
+        'UNAUTHORIZED': Problem(
+            verdict=Verdict.NOT_RUN, reason=Reason.COOKIE_NEEDED
+        ),
+        'SERVICE_UNAVAILABLE': Problem(
+            verdict=Verdict.NOT_RUN, reason=Reason.OVERLOADED
+        ),
+        'GATEWAY_TIMEOUT': Problem(
+            verdict=Verdict.MAY_HAVE_RUN, reason=Reason.OWNER_LOST
+        ),
+        'BAD_GATEWAY': Problem(
+            verdict=Verdict.RAN, reason=Reason.ANSWER_DROPPED
+        ),
+    }
+)
+
+
 def read_block(block: Any) -> Block | None:
     """Return a block option of the library, None when it is absent."""
     if block is None:
@@ -175,30 +211,47 @@
         {
             PROBLEM_TITLE: str(answer.reason),
             PROBLEM_DETAIL: answer.message,
-            PROBLEM_VERDICT: answer.verdict.value,
-            PROBLEM_REASON: str(answer.reason),
+            PROBLEM_REQUEST: {
+                PROBLEM_VERDICT: answer.verdict.value,
+                PROBLEM_REASON: str(answer.reason),
+            },
         }
     )
 
 
+def encode_short_answer(request: CallerRequest, answer: Answer) -> bytes:
+    """Write the least that still tells the caller what became of it.
+
+    The problem document is empty: its reader goes by the code.
+    """
+    code = answer.code if answer.reason else 'BAD_GATEWAY'
+    short = Answer(
+        code=code,
+        verdict=answer.verdict,
+        content_format=PROBLEM_FORMAT,
+        max_age_seconds=answer.max_age_seconds,
+        cookie=answer.cookie,
+    )
+    return encode_answer(attrs.evolve(request, wants_hops=False), short)
+
+
 def decode_answer(payload: bytes) -> tuple[bytes, Answer]:
     """Read a datagram that answers a request; return its token too."""
     message = decode_message(payload)
+    if not message.code.is_response():
+        raise MalformedDatagramError(message=f'{message.code} is no answer')
     opt = message.opt
     hops = option_bytes(message, OPTION_HOPS) or b''
-    verdict, reason, detail = Verdict.RAN, None, ''
+    problem = Problem(verdict=Verdict.RAN, reason=None)
     if opt.content_format == PROBLEM_FORMAT:
-        problem = cbor2.loads(message.payload)
-        verdict = Verdict(problem[PROBLEM_VERDICT])
-        reason = Reason(problem[PROBLEM_REASON])
-        detail = problem[PROBLEM_DETAIL]
+        problem = decode_problem(message.code.name, message.payload)
     answer = Answer(
         code=message.code.name,
-        verdict=verdict,
+        verdict=problem.verdict,
         payload=message.payload,
         content_format=opt.content_format,
-        reason=reason,
-        message=detail,
+        reason=problem.reason,
+        message=problem.detail,
         max_age_seconds=opt.max_age,
         cookie=opt.echo or b'',
         observe=opt.observe,
@@ -206,6 +259,25 @@
         block2=read_block(opt.block2),
         size2=opt.size2,
         etag=opt.etag or b'',
-        hops=tuple(hops.decode().split('>')) if hops else (),
+        hops=tuple(hops.decode(errors='replace').split('>')) if hops else (),
     )
     return message.token, answer
+
+
+def decode_problem(code: str, payload: bytes) -> Problem:
+    """Read a problem document; its answer's code says the rest."""
+    fallback = SHORT_PROBLEMS.get(code, NOT_RUN_PROBLEM)
+    if not payload:
+        return fallback
+    try:
+        document = cbor2.loads(payload)
+        ours = document[PROBLEM_REQUEST]
+        return Problem(
+            verdict=Verdict(ours[PROBLEM_VERDICT]),
+            reason=Reason(ours[PROBLEM_REASON]),
+            detail=str(document.get(PROBLEM_DETAIL, '')),
+        )
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError):
+        # Written by another version or by something between us: the code
+        # alone never claims too much.
+        return fallback
--- a/burdocksill/requests/messages.py
+++ b/burdocksill/requests/messages.py
@@ -7,6 +7,8 @@
 from burdocksill.network.protocols import Address
 from burdocksill.requests.verdict import Reason, Verdict
 
+# A GET of this path brings a fresh cookie and reaches no upstream.
+COOKIE_PATH: Final = ('.well-known', 'burdocksill', 'cookie')
 # RFC 7959, section 2.2: a block has 2 ** (exponent + 4) bytes, at most 1024.
 LARGEST_EXPONENT: Final = 6
 EXPONENT_BASE: Final = 4
@@ -92,3 +94,5 @@
     caller: Address
     hops: tuple[str, ...] = ()
     raw: bytes = b''
+    # The cookie shows that the caller receives at the address it sends from.
+    verified: bool = False
--- a/burdocksill/requests/verdict.py
+++ b/burdocksill/requests/verdict.py
@@ -37,6 +37,7 @@
     ANSWER_LOST = 'answer-lost'
     BODY_INCOMPLETE = 'body-incomplete'
     BODY_TOO_LARGE = 'body-too-large'
+    ADDRESS_CHANGED = 'address-changed'
     FEED_ENDED = 'feed-ended'
     FEED_REFUSED = 'feed-refused'
     ANSWER_DROPPED = 'answer-dropped'
