--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -39,9 +39,11 @@
 from burdocksill.requests.exceptions import (
     MalformedDatagramError,
     RequestFailedError,
+    UnsupportedRequestError,
 )
 from burdocksill.requests.messages import Answer, Envelope
-from burdocksill.requests.refusals import refusal
+from burdocksill.requests.refusals import BAD_OPTION, refusal, unsupported
+from burdocksill.requests.rejection import is_confirmable, reset_for
 from burdocksill.requests.verdict import Reason, Verdict
 
 # Relay, former owner, heir and one more; a longer way is a loop.
@@ -78,8 +80,8 @@
         self.counters.add('caller_datagrams')
         try:
             request = decode_request(datagram.payload)
-        except MalformedDatagramError:
-            self.counters.add('malformed_datagrams')
+        except (MalformedDatagramError, UnsupportedRequestError) as error:
+            self.refuse_datagram(datagram, error)
             return
         envelope = Envelope(
             request=request,
@@ -89,6 +91,28 @@
         )
         self.route(envelope)
 
+    def refuse_datagram(
+        self,
+        datagram: Datagram,
+        error: MalformedDatagramError | UnsupportedRequestError,
+    ) -> None:
+        """Count what cannot be served, and answer where CoAP says so."""
+        self.counters.add('malformed_datagrams')
+        confirmable = is_confirmable(datagram.payload)
+        if isinstance(error, UnsupportedRequestError) and (
+            confirmable or error.coap_code != BAD_OPTION
+        ):
+            envelope = Envelope(
+                request=error.request,
+                caller=datagram.peer,
+                raw=datagram.payload,
+            )
+            self.reply(envelope, unsupported(error))
+            return
+        reset = reset_for(datagram.payload)
+        if reset:
+            self.socket.send(reset, datagram.peer)
+
     def take_relayed(self, opened: Opened, peer: Address) -> None:
         """Serve a request that another VM relayed because we own it."""
         message = opened.message
@@ -97,7 +121,7 @@
         self.counters.add('relayed_in')
         try:
             request = decode_request(message.raw)
-        except MalformedDatagramError:
+        except (MalformedDatagramError, UnsupportedRequestError):
             self.counters.add('malformed_datagrams')
             return
         envelope = Envelope(
--- a/burdocksill/requests/codec.py
+++ b/burdocksill/requests/codec.py
@@ -14,7 +14,10 @@
 from aiocoap import Code, Message
 from aiocoap.error import Error as CoapError
 
-from burdocksill.requests.exceptions import MalformedDatagramError
+from burdocksill.requests.exceptions import (
+    MalformedDatagramError,
+    UnsupportedRequestError,
+)
 from burdocksill.requests.messages import (
     LARGEST_EXPONENT,
     Answer,
@@ -37,6 +40,19 @@
 PROBLEM_VERDICT: Final = 'verdict'
 PROBLEM_REASON: Final = 'reason'
 MS_PER_SECOND: Final = 1000
+LONGEST_TIMEOUT_BYTES: Final = 4
+HEADER_BYTES: Final = 4
+TOKEN_LENGTH_MASK: Final = 15
+LONGEST_TOKEN: Final = 8
+BLOCK_NUMBERS: Final = 1 << 20
+# Critical options that are understood: Uri-Host, Uri-Port, Uri-Path,
+# Uri-Query, Block2 and Block1 (RFC 7252, section 5.10; RFC 7959).
+UNDERSTOOD: Final = frozenset((3, 7, 11, 15, 23, 27))
+REPEATABLE: Final = frozenset((11, 15))
+PROXY_OPTIONS: Final = frozenset((35, 39))
+METHODS: Final = frozenset(
+    ('GET', 'POST', 'PUT', 'DELETE', 'FETCH', 'PATCH', 'iPATCH')
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -75,11 +91,8 @@
     if block is None:
         return None
     number, more, exponent = block
-    if exponent > LARGEST_EXPONENT:
-        raise MalformedDatagramError(
-            message=f'block size exponent {exponent}',
-            hint='exponent 7 is for reliable transports only (RFC 8323)',
-        )
+    if exponent > LARGEST_EXPONENT or number >= BLOCK_NUMBERS:
+        return INVALID_BLOCK
     return Block(number=number, more=more, exponent=exponent)
 
 
@@ -90,6 +103,10 @@
     return (block.number, block.more, block.exponent)
 
 
+# Stands for a block option that cannot be served; its request is refused.
+INVALID_BLOCK: Final = Block(number=BLOCK_NUMBERS)
+
+
 def option_bytes(message: Message, number: int) -> bytes | None:
     """Return the bytes of the first option with a number."""
     found = message.opt.get_option(number)
@@ -98,6 +115,13 @@
 
 def decode_message(payload: bytes) -> Message:
     """Read one CoAP message; raise MalformedDatagramError."""
+    token_bytes = payload[0] & TOKEN_LENGTH_MASK if payload else 0
+    whole = len(payload) >= HEADER_BYTES + token_bytes
+    if token_bytes > LONGEST_TOKEN or not whole:
+        raise MalformedDatagramError(
+            message=f'{len(payload)} bytes with a token of {token_bytes}',
+            hint='a token has at most 8 bytes (RFC 7252, section 3)',
+        )
     try:
         return Message.decode(payload, None)
     except (CoapError, ValueError, IndexError, KeyError) as error:
@@ -108,7 +132,11 @@
 
 
 def decode_request(payload: bytes) -> CallerRequest:
-    """Read a caller's datagram."""
+    """Read a caller's datagram.
+
+    Raise MalformedDatagramError for what is no request, and
+    UnsupportedRequestError for a request that CoAP wants refused.
+    """
     message = decode_message(payload)
     if not message.code.is_request():
         raise MalformedDatagramError(
@@ -116,10 +144,9 @@
             hint='callers send requests only',
         )
     opt = message.opt
-    timeout = option_bytes(message, OPTION_TIMEOUT_MS)
-    return CallerRequest(
+    request = CallerRequest(
         service=opt.uri_host or '',
-        method=message.code.name,
+        method=method_name(message.code),
         token=message.token,
         message_id=message.mid,
         confirmable=message.mtype is aiocoap.CON,
@@ -127,7 +154,7 @@
         query=tuple(opt.uri_query),
         payload=message.payload,
         cookie=opt.echo or b'',
-        timeout_seconds=int.from_bytes(timeout or b'', 'big') / MS_PER_SECOND,
+        timeout_seconds=read_timeout(message),
         observe=opt.observe,
         block1=read_block(opt.block1),
         block2=read_block(opt.block2),
@@ -138,6 +165,55 @@
         wants_hops=option_bytes(message, OPTION_HOPS) is not None,
         cancels=option_bytes(message, OPTION_CANCEL) is not None,
     )
+    require_supported(message, request)
+    return request
+
+
+def method_name(code: Code) -> str:
+    """Return a method's name, empty for one that nobody has defined."""
+    name = getattr(code, 'name', '')
+    return name if name in METHODS else ''
+
+
+def read_timeout(message: Message) -> float:
+    """Return how long the caller waits, 0 when it does not say so well."""
+    encoded = option_bytes(message, OPTION_TIMEOUT_MS) or b''
+    if len(encoded) > LONGEST_TIMEOUT_BYTES:
+        # An elective option of a wrong length is ignored (section 5.4.3).
+        return 0
+    return int.from_bytes(encoded, 'big') / MS_PER_SECOND
+
+
+def require_supported(message: Message, request: CallerRequest) -> None:
+    """Raise UnsupportedRequestError where CoAP wants a request refused."""
+    numbers = [int(option.number) for option in message.opt.option_list()]
+    critical = [number for number in numbers if number % 2]
+    if not request.method:
+        raise UnsupportedRequestError(
+            request=request,
+            coap_code='METHOD_NOT_ALLOWED',
+            message=f'method {message.code} is unknown',
+        )
+    if PROXY_OPTIONS.intersection(critical):
+        raise UnsupportedRequestError(
+            request=request,
+            coap_code='PROXYING_NOT_SUPPORTED',
+            message='this is no forward proxy',
+        )
+    for number in critical:
+        repeated = number not in REPEATABLE and critical.count(number) > 1
+        if number not in UNDERSTOOD or repeated:
+            raise UnsupportedRequestError(
+                request=request,
+                coap_code='BAD_OPTION',
+                message=f'critical option {number} is unknown or repeated',
+            )
+    if INVALID_BLOCK in {request.block1, request.block2}:
+        raise UnsupportedRequestError(
+            request=request,
+            coap_code='BAD_REQUEST',
+            message='a block option is out of its range',
+        )
 
 
 def encode_request(request: CallerRequest) -> bytes:
--- a/burdocksill/requests/exceptions.py
+++ b/burdocksill/requests/exceptions.py
@@ -5,6 +5,7 @@
 import attrs
 
 from burdocksill.exceptions import BurdocksillError
+from burdocksill.requests.messages import CallerRequest
 from burdocksill.requests.verdict import Reason, Verdict
 
 
@@ -14,6 +15,18 @@
     code = 'burdocksill.E401'
 
 
+@attrs.define(kw_only=True)
+class UnsupportedRequestError(BurdocksillError):
+    """Say that a request asks in a way that we must refuse."""
+
+    code: ClassVar[str] = 'burdocksill.E403'
+
+    request: CallerRequest
+    coap_code: str
+    message: str
+    hint: str = 'see docs/reference/coap.md for what is understood'
+
+
 @attrs.define(kw_only=True)
 class RequestFailedError(BurdocksillError):
     """End a request with a verdict and a time to come back."""
--- a/burdocksill/requests/refusals.py
+++ b/burdocksill/requests/refusals.py
@@ -4,7 +4,10 @@
 from types import MappingProxyType
 from typing import Final
 
-from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.exceptions import (
+    RequestFailedError,
+    UnsupportedRequestError,
+)
 from burdocksill.requests.messages import Answer
 from burdocksill.requests.verdict import Reason, Verdict
 
@@ -33,6 +36,8 @@
     }
 )
 
+BAD_OPTION: Final = 'BAD_OPTION'
+
 
 def refusal(failure: RequestFailedError, *, cookie: bytes = b'') -> Answer:
     """Write the final answer of a request that failed."""
@@ -45,3 +50,13 @@
         max_age_seconds=failure.retry_after_seconds,
         cookie=cookie,
     )
+
+
+def unsupported(error: UnsupportedRequestError) -> Answer:
+    """Write the answer to a request that CoAP wants refused."""
+    return Answer(
+        code=error.coap_code,
+        verdict=Verdict.NOT_RUN,
+        reason=Reason.BAD_REQUEST,
+        message=error.message,
+    )
--- a/burdocksill_lab/stand_ins/upstream.py
+++ b/burdocksill_lab/stand_ins/upstream.py
@@ -41,6 +41,8 @@
     path: str
     payload: bytes
     flow: str
+    # The deadline that came with it, in milliseconds; 0 without one.
+    timeout_ms: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -53,6 +55,7 @@
     work_seconds: float = DEFAULT_WORK_SECONDS
     instance: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     ledger: list[LedgerEntry] = attrs.field(factory=list)
+    busy: int = 0
 
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends."""
@@ -76,9 +79,16 @@
                 path=path,
                 payload=bytes(request.body),
                 flow=request.headers.get('burdocksill-flow', ''),
+                timeout_ms=int(
+                    request.headers.get('burdocksill-timeout-ms', '0'),
+                ),
             ),
         )
-        await trio.sleep(self.work_seconds)
+        self.busy += 1
+        try:
+            await trio.sleep(self.work_seconds)
+        finally:
+            self.busy -= 1
         size = statement_size(path)
         if size:
             whole = statement(by=self.name, run=len(self.ledger), size=size)
