--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -6,10 +6,12 @@
 import attrs
 
 from burdocksill.documents.store import HighestRevisionRule, RevisionRule
+from burdocksill.entry.stopping import GracefulStopper, Stopper
 from burdocksill.membership.protocols import MemberView
 from burdocksill.ownership.fence import PauseFence
 from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
 from burdocksill.ownership.protocols import Fence
+from burdocksill.ownership.succession import RendezvousSuccession, Succession
 from burdocksill.requests.blocks import (
     AnswerKeeper,
     TaggedAnswers,
@@ -48,6 +50,8 @@
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
     foreign: Callable[[], ForeignRule] = HonestForeignRule
+    succession: Callable[[], Succession] = RendezvousSuccession
+    stopper: Callable[[], Stopper] = GracefulStopper
     fence: Callable[[MemberView], Fence] = pause_fence
     limiter: Callable[[int], Limiter] = slot_limiter
     answers: Callable[[Random], AnswerKeeper] = tagged_answers
--- a/burdocksill/requests/messages.py
+++ b/burdocksill/requests/messages.py
@@ -96,3 +96,5 @@
     raw: bytes = b''
     # The cookie shows that the caller receives at the address it sends from.
     verified: bool = False
+    # How often this VM has routed the packet again.
+    detours: int = 0
--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -93,11 +93,17 @@
         await self.flush()
 
     async def flush(self) -> None:
-        """Send what the protocol has queued, in order."""
-        async with self.sending:
-            pending = self.state.data_to_send()
-            if pending:
-                await self.stream.send_all(pending)
+        """Send what the protocol has queued, in order.
+
+        A cancelled request must not take queued bytes with it: the headers'
+        compression spans requests, and the upstream would end the connection
+        at the next one.
+        """
+        with trio.CancelScope(shield=True):
+            async with self.sending:
+                pending = self.state.data_to_send()
+                if pending:
+                    await self.stream.send_all(pending)
 
     async def run(self) -> None:
         """Read events until the connection ends, then fail what is open."""
--- a/tests/steps/requests_malformed.py
+++ b/tests/steps/requests_malformed.py
@@ -103,6 +103,8 @@
         derandomize=True,
         database=None,
         deadline=None,
+        # Shrinking a failure takes minutes; the seed shows it as it is.
+        phases=(hypothesis.Phase.generate,),
         suppress_health_check=list(hypothesis.HealthCheck),
     )
 
