--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,5 +1,6 @@
 """Decide for each caller's datagram which VM serves it."""
 
+import math
 from typing import Final
 
 import attrs
@@ -16,7 +17,7 @@
     name_tag,
 )
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import Placer
+from burdocksill.flows.placement import Placement, Placer
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import (
     Address,
@@ -49,6 +50,8 @@
 # Relay, former owner, heir and one more; a longer way is a loop.
 HOP_LIMIT: Final = 4
 AMPLIFICATION: Final = 3
+# A new flow is passed on at most this far: VMs and upstreams both count.
+LONGEST_PATH: Final = 9
 DETOUR_SECONDS: Final = 0.3
 DETOURS_PER_PACKET: Final = 8
 # Packets on a detour at once; more are answered without one.
@@ -134,6 +137,7 @@
             caller=Address(message.caller_host, message.caller_port),
             hops=(*message.hops, self.members.itself.name),
             raw=message.raw,
+            refused=message.refused,
         )
         if message.upstream:
             self.enter(envelope, message.upstream)
@@ -173,7 +177,11 @@
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.NO_UPSTREAM,
             )
-        if placement.owner == self.members.itself:
+        self.go(envelope, placement)
+
+    def go(self, envelope: Envelope, placement: Placement) -> None:
+        """Open a flow where it was placed."""
+        if placement.owner.tag == self.members.itself.tag:
             self.enter(envelope, placement.upstream.name)
             return
         self.relay(
@@ -182,6 +190,32 @@
             upstream=placement.upstream.name,
         )
 
+    def move(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        below: float = math.inf,
+    ) -> bool:
+        """Open a flow at another upstream; return False without one.
+
+        The hops name the upstreams that were tried, and their number ends a
+        search in which every owner names another.
+        """
+        document = self.store.services.get(envelope.request.service)
+        if document is None or len(envelope.hops) >= LONGEST_PATH:
+            return False
+        hops = (*envelope.hops, upstream)
+        placement = self.placer.place(
+            document,
+            avoid=frozenset(hops),
+            below=below,
+        )
+        if placement is None:
+            return False
+        moved = attrs.evolve(envelope, hops=hops, refused=True)
+        self.go(moved, placement)
+        return True
+
     def follow(self, envelope: Envelope, cookie: Cookie) -> None:
         """Go to whoever holds the cookie's epoch, as far as can be known."""
         service = envelope.request.service
@@ -279,7 +313,7 @@
             )
             self.reply(envelope, refusal(failure))
             return
-        cookie = self.open_cookie(envelope)
+        cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
@@ -318,6 +352,7 @@
             caller_port=envelope.caller.port,
             hops=envelope.hops,
             upstream=upstream,
+            refused=envelope.refused,
         )
         self.channel.send(message, peer)
 
--- a/burdocksill/requests/messages.py
+++ b/burdocksill/requests/messages.py
@@ -88,7 +88,11 @@
 
 @attrs.frozen(kw_only=True)
 class Envelope:
-    """Hold a request with where it came from and which VMs passed it on."""
+    """Hold a request with where it came from and which VMs passed it on.
+
+    `refused` says that the holder of its epoch refused it for good: it was
+    not run, and only a new flow is wanted.
+    """
 
     request: CallerRequest
     caller: Address
@@ -96,5 +100,6 @@
     raw: bytes = b''
     # The cookie shows that the caller receives at the address it sends from.
     verified: bool = False
+    refused: bool = False
     # How often this VM has routed the packet again.
     detours: int = 0
--- /dev/null
+++ b/burdocksill/upstreams/departures.py
@@ -0,0 +1,42 @@
+"""Whether an upstream leaves, whoever says so."""
+
+from typing import Protocol
+
+import attrs
+
+from burdocksill.documents.models import Upstream
+from burdocksill.documents.store import DocumentStore
+
+
+class LeavingRule(Protocol):
+    """Decide whether an upstream gets no new work."""
+
+    def leaves(self, upstream: Upstream, *, told: bool) -> bool:
+        """Return True when it leaves; `told` is the upstream's own word."""
+
+
+@attrs.define(kw_only=True)
+class AnyWordRule:
+    """Believe the document, the upstream itself and the platform's list.
+
+    The list lags and the platform has outages. So any one word is enough, and
+    an outage keeps what was last read.
+    """
+
+    store: DocumentStore
+
+    def leaves(self, upstream: Upstream, *, told: bool) -> bool:
+        """Return True when any of the three says so."""
+        listed = upstream.host in self.store.departing
+        return upstream.draining or told or listed
+
+
+@attrs.define(kw_only=True)
+class NeverLeaving:
+    """Take no notice of anyone: the baseline of the control runs."""
+
+    store: DocumentStore
+
+    def leaves(self, upstream: Upstream, *, told: bool) -> bool:
+        """Return False always."""
+        return False
