--- a/tests/requests/feeds.feature
+++ b/tests/requests/feeds.feature
@@ -18,6 +18,16 @@
     When two route feeds are read for 80 seconds while their owner stops
     Then each route feed is in order, whole and its own
 
+  Scenario Outline: The owner gives its feeds away in the middle of a round
+    Given a route feed behind three entry VMs
+    When two route feeds are read for 50 seconds while their <giving>
+    Then each route feed is in order, whole and its own
+
+    Examples:
+      | giving           |
+      | owner hands over |
+      | owner ends them  |
+
   Scenario: The upstream is lost and another one goes on
     Given a route feed behind three entry VMs
     When two route feeds are read for 80 seconds while their upstream is lost
--- a/tests/steps/requests_feeds.py
+++ b/tests/steps/requests_feeds.py
@@ -12,8 +12,10 @@
 from burdocksill.callers.feeds import Notification, open_feed
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.flows.cookie import SignedCookieSealer
+from burdocksill.ownership.feeds import FeedTable
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.feeds import read_line
+from burdocksill.requests.verdict import Reason
 from burdocksill_lab.fakes.clock import VirtualClock
 from burdocksill_lab.fakes.deterministic import run_seeded
 from burdocksill_lab.fakes.world import RunningNode, World, open_world
@@ -102,6 +104,35 @@
     world.network.kill(lost.host)
 
 
+def tables(world: World) -> list[FeedTable]:
+    """Return the feeds of every upstream."""
+    return [
+        upstream.feeds
+        for running in world.nodes.values()
+        for upstream in running.node.owners.owned.values()
+    ]
+
+
+async def hand_over(world: World) -> None:
+    """Hand each open feed over to the owner of the other upstream."""
+    await trio.sleep(30)
+    moves = []
+    for table in tables(world):
+        heir = next(known for known in tables(world) if known is not table)
+        moves += [(heir, described) for described in table.release()]
+    assert len(moves) == len(NAMES)
+    for heir, described in moves:
+        nursery = world.require_nursery()
+        nursery.start_soon(heir.adopt, described, ('former-owner',))
+
+
+async def end_feeds(world: World) -> None:
+    """Tell the callers of every feed to open it elsewhere."""
+    await trio.sleep(30)
+    for table in tables(world):
+        table.end_all(Reason.STOPPING)
+
+
 def read_feeds(context: Context, seconds: float, fault: Fault) -> None:
     """Read two feeds at once while something happens."""
     context.seen = {name: [] for name in NAMES}
@@ -137,6 +168,8 @@
     """Read while something ends."""
     faults = {
         'owner dies': kill_owner,
+        'owner hands over': hand_over,
+        'owner ends them': end_feeds,
         'owner stops': stop_owner,
         'upstream is lost': lose_upstream,
     }
