--- a/burdocksill/requests/verdict.py
+++ b/burdocksill/requests/verdict.py
@@ -33,6 +33,13 @@
     STOPPING = 'stopping'
     BAD_REQUEST = 'bad-request'
     ANSWER_TOO_LARGE = 'answer-too-large'
+    # The request ran, but the blocks not fetched yet are gone.
+    ANSWER_LOST = 'answer-lost'
+    BODY_INCOMPLETE = 'body-incomplete'
+    BODY_TOO_LARGE = 'body-too-large'
+    ADDRESS_CHANGED = 'address-changed'
+    FEED_ENDED = 'feed-ended'
+    FEED_REFUSED = 'feed-refused'
     ANSWER_DROPPED = 'answer-dropped'
     OWNER_FENCED = 'owner-fenced'
     WINDOW_FULL = 'window-full'
--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -21,6 +21,8 @@
 READ_BYTES: Final = 65536
 TIMEOUT_HEADER: Final = 'burdocksill-timeout-ms'
 FLOW_HEADER: Final = 'burdocksill-flow'
+FEED_AFTER_HEADER: Final = 'burdocksill-feed-after'
+LARGEST_ANSWER_BYTES: Final = 4 * 1024 * 1024
 HTTP_OK: Final = 200
 HTTP_UNAVAILABLE: Final = 503
 PING_BYTES: Final = 8
@@ -43,6 +45,8 @@
     retry_after: str = ''
     body: bytearray = attrs.field(factory=bytearray)
     failure: RequestFailedError | None = None
+    # Set and replaced whenever more of the body has arrived, or its end.
+    grown: trio.Event = attrs.field(factory=trio.Event)
 
     def fail(self, verdict: Verdict, reason: Reason) -> None:
         """End the exchange without a whole answer."""
@@ -52,6 +56,28 @@
         """End the exchange by an error."""
         self.failure = failure
         self.done.set()
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake whoever reads the body while it grows."""
+        self.grown.set()
+        self.grown = trio.Event()
+
+    async def lines(self) -> AsyncGenerator[bytes, None]:
+        """Yield each line of the body as soon as it is there."""
+        while True:
+            end = self.body.find(b'\n')
+            if end >= 0 and self.status == HTTP_OK:
+                line = bytes(self.body[:end])
+                del self.body[: end + 1]
+                yield line
+            elif self.done.is_set():
+                break
+            else:
+                await self.grown.wait()
+        if self.whole().status != HTTP_OK:
+            self.fail(Verdict.RAN, Reason.FEED_REFUSED)
+            self.whole()
 
     def lose(self, *, silent: bool) -> None:
         """End the exchange because its connection is gone."""
@@ -248,14 +274,20 @@
         length = event.flow_controlled_length or 0
         self.state.acknowledge_received_data(length, event.stream_id)
         exchange = self.exchanges.get(event.stream_id)
-        if exchange is not None and event.data:
-            exchange.body.extend(event.data)
+        if exchange is None or not event.data:
+            return
+        exchange.body.extend(event.data)
+        if len(exchange.body) > LARGEST_ANSWER_BYTES:
+            # `exchange` resets the stream; nothing more of it is kept.
+            exchange.fail(Verdict.RAN, Reason.ANSWER_TOO_LARGE)
+        exchange.wake()
 
     def finish(self, stream_id: int) -> None:
         """Complete an exchange: END_STREAM proves the answer whole."""
         exchange = self.exchanges.pop(stream_id, None)
         if exchange is not None:
             exchange.done.set()
+            exchange.wake()
 
     def take_reset(self, event: h2.events.StreamReset) -> None:
         """Settle a reset stream: REFUSED_STREAM proves that it did not run."""
@@ -339,9 +371,27 @@
         request: UpstreamRequest,
     ) -> AsyncGenerator[bytes, None]:
         """Yield a feed's notifications, one line each."""
-        answer = await self.exchange(request)
-        for line in answer.payload.splitlines():
-            yield line
+        if self.closed:
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.UPSTREAM_DOWN,
+            )
+        stream_id = self.state.get_next_available_stream_id()
+        exchange = Exchange()
+        self.exchanges[stream_id] = exchange
+        try:
+            await self.send_request(stream_id, request)
+            async for line in exchange.lines():
+                yield line
+        except h2.exceptions.ProtocolError as error:
+            # The upstream allows no more streams; nothing was sent.
+            self.exchanges.pop(stream_id, None)
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.OVERLOADED,
+            ) from error
+        finally:
+            self.abandon(stream_id)
 
 
 def headers(
@@ -362,4 +412,6 @@
         headers.append((TIMEOUT_HEADER, str(left)))
     if request.flow:
         headers.append((FLOW_HEADER, request.flow))
+    if request.feed_after is not None:
+        headers.append((FEED_AFTER_HEADER, str(request.feed_after)))
     return headers
