--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -18,6 +18,11 @@
 from burdocksill.ownership.foreign import ForeignRule, HonestForeignRule
 from burdocksill.ownership.protocols import Fence
 from burdocksill.ownership.succession import RendezvousSuccession, Succession
+from burdocksill.requests.blocks import (
+    AnswerKeeper,
+    TaggedAnswers,
+    Transfers,
+)
 from burdocksill.requests.retries import RetryBudget, ShareBudget
 from burdocksill.requests.window import RequestWindow, TokenWindow
 from burdocksill.upstreams.client import NameVerifier
@@ -62,6 +67,11 @@
     )
 
 
+def tagged_answers(rng: Random) -> AnswerKeeper:
+    """Make the keeper of answers that are larger than a block."""
+    return TaggedAnswers(rng=rng)
+
+
 @attrs.frozen(kw_only=True)
 class Guards:
     """Hold what stands between a fault and a broken promise.
@@ -84,3 +94,8 @@
         [MemberView, DocumentStore, Random, HintBook],
         Placer,
     ] = two_choices
+    answers: Callable[[Random], AnswerKeeper] = tagged_answers
+
+    def transfers(self, rng: Random) -> Transfers:
+        """Make what one VM holds of answers and bodies in transfer."""
+        return Transfers(answers=self.answers(rng))
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -20,11 +21,16 @@
 from burdocksill.observe.counters import Counters
 from burdocksill.ownership.cookies import CookieIssuer
 from burdocksill.ownership.epochs import EpochHolder, EpochTable
+from burdocksill.ownership.feeds import FeedTable
 from burdocksill.ownership.foreign import ForeignRule
 from burdocksill.ownership.progress import InProgress
 from burdocksill.ownership.protocols import CallerLink, Fence
+from burdocksill.ownership.side_requests import SideRequests
+from burdocksill.requests.blocks import Transfers
+from burdocksill.requests.cancellation import Cancellations
 from burdocksill.requests.dispatch import Dispatcher
 from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.feeds import is_feed
 from burdocksill.requests.messages import Answer, Envelope
 from burdocksill.requests.refusals import refusal
 from burdocksill.requests.verdict import Reason, Verdict
@@ -67,6 +73,31 @@
     RETIRED = 'retired'
 
 
+def make_side_requests(owned: 'OwnedUpstream') -> SideRequests:
+    """Make what answers the requests that run nothing."""
+    return SideRequests(
+        service=owned.document.service,
+        transfers=owned.transfers,
+        cookies=owned.cookies,
+        counters=owned.counters,
+        link=owned.link,
+    )
+
+
+def make_feeds(owned: 'OwnedUpstream') -> FeedTable:
+    """Make the table of an upstream's feeds, one connection's worth."""
+    return FeedTable(
+        service=owned.document.service,
+        upstream=owned.upstream.name,
+        limit=owned.upstream.connections,
+        client=owned.client,
+        cookies=owned.cookies,
+        clock=owned.clock,
+        counters=owned.counters,
+        link=owned.link,
+    )
+
+
 @attrs.define(kw_only=True)
 class OwnedUpstream:
     """Hold an upstream's epochs and everything that is counted for it."""
@@ -79,6 +110,7 @@
     rng: Random
     client: UpstreamClient
     dispatcher: Dispatcher
+    transfers: Transfers
     fence: Fence
     foreign: ForeignRule
     admission: Admission
@@ -89,9 +121,16 @@
     ready: trio.Event = attrs.field(factory=trio.Event)
     heir: Member | None = None
     waiting: list[Envelope] = attrs.field(factory=list)
+    cancellations: Cancellations = attrs.field(factory=Cancellations)
     progress: InProgress = attrs.field(factory=InProgress)
     # Called with epoch, key and answer of each request that ends here.
     on_settled: Callable[[bytes, RequestKey, Answer], None] | None = None
+    feeds: FeedTable = attrs.field(
+        default=attrs.Factory(make_feeds, takes_self=True),
+    )
+    side: SideRequests = attrs.field(
+        default=attrs.Factory(make_side_requests, takes_self=True),
+    )
 
     async def run(self) -> None:
         """Keep the connection until the upstream is released."""
@@ -110,7 +149,7 @@
             await self.ready.wait()
         if cookie is None:
             self.open_flow(envelope)
-        else:
+        elif not self.side.answer(envelope, cookie, has_heir=False):
             await self.serve_foreign(envelope, cookie)
 
     def open_flow(self, envelope: Envelope) -> None:
@@ -148,6 +187,8 @@
         """Answer a request whose cookie names this upstream."""
         with trio.move_on_after(READY_SECONDS):
             await self.ready.wait()
+        if self.side.answer(envelope, cookie, has_heir=bool(self.heir)):
+            return
         table = self.epochs.find(cookie.epoch)
         if table is None:
             await self.serve_foreign(envelope, cookie)
@@ -161,8 +202,14 @@
         table: EpochTable,
     ) -> None:
         """Dispatch a request of an epoch held here once, answer every copy."""
+        feeds = is_feed(envelope.request) and envelope.verified
+        if feeds and self.heir is None:
+            await self.feeds.serve(envelope, cookie)
+            return
         key = request_key(cookie.flow_id, envelope.request.token)
         claim = self.claim(envelope, table, key)
+        if claim.state is ClaimState.RUNNING and envelope.request.cancels:
+            self.cancellations.cancel(key)
         if claim.state is not ClaimState.FRESH:
             self.answer_copy(envelope, claim)
             return
@@ -177,7 +224,10 @@
             self.settle(table, key, OVERLOADED)
             return
         with self.progress.one():
-            answer = await self.attempt(envelope, cookie)
+            answer = await self.cancellations.run(
+                key,
+                partial(self.attempt, envelope, cookie),
+            )
         self.settle(table, key, answer)
         if self.admission.moves(
             envelope,
@@ -280,18 +330,32 @@
 
     async def dispatch(self, envelope: Envelope, cookie: Cookie) -> Answer:
         """Run a claimed request, unless its cookie or this VM forbids it."""
+        if envelope.request.cancels:
+            # The cancellation has overtaken the request itself.
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.CANCELLED,
+            )
+        if not envelope.verified:
+            raise RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.ADDRESS_CHANGED,
+            )
         if cookie.age(self.clock.now()) is not CookieAge.VALID:
             raise RequestFailedError(
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.COOKIE_EXPIRED,
             )
+        flow_id = cookie.flow_id
+        request = self.transfers.whole_request(flow_id, envelope.request)
         self.fence.check()
-        self.admission.use_flow(cookie.flow_id, self.upstream)
-        return await self.dispatcher.dispatch(
-            envelope.request,
-            flow_id=cookie.flow_id,
+        self.admission.use_flow(flow_id, self.upstream)
+        answer = await self.dispatcher.dispatch(
+            request,
+            flow_id=flow_id,
             longest_seconds=self.document.deadline_seconds,
         )
+        return self.transfers.answers.first_block(flow_id, request, answer)
 
     def pass_on(self, envelope: Envelope, *, upstream: str = '') -> None:
         """Send a request to the heir, or keep it until the heir can take it."""
--- a/burdocksill_lab/stand_ins/upstream.py
+++ b/burdocksill_lab/stand_ins/upstream.py
@@ -14,11 +14,18 @@
 from burdocksill.upstreams.connection import FLOW_HEADER, TIMEOUT_HEADER
 from burdocksill.upstreams.health import HEALTH_PATH, LOAD_PATH, HealthState
 from burdocksill.upstreams.identity import IDENTITY_PATH
+from burdocksill_lab.stand_ins.feeds import (
+    AFTER_HEADER,
+    UNKNOWN,
+    feed_lines,
+    feed_name,
+)
 from burdocksill_lab.stand_ins.serving import (
     ReceivedRequest,
     ServerConnection,
     StandInAnswer,
 )
+from burdocksill_lab.stand_ins.statements import statement, statement_size
 
 DEFAULT_WORK_SECONDS: Final = 0.005
 # A cold upstream bears one more request at once after each so many.
@@ -62,6 +69,8 @@
     path: str
     payload: bytes
     flow: str
+    # The deadline that came with it, in milliseconds; 0 without one.
+    timeout_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -143,6 +152,10 @@
         if path in OWN_PATHS:
             await connection.send(request.stream_id, self.own_answer(path))
             return
+        name = feed_name(path)
+        if name:
+            await self.serve_feed(connection, request, name)
+            return
         self.arrivals.append(trio.current_time())
         if self.refuses(connection, request):
             return
@@ -153,6 +166,22 @@
         if answer is not None:
             await self.deliver(connection, request.stream_id, answer)
 
+    async def serve_feed(
+        self,
+        connection: ServerConnection,
+        request: ReceivedRequest,
+        name: str,
+    ) -> None:
+        """Send a feed's lines until the caller cancels it."""
+        if name == UNKNOWN:
+            missing = StandInAnswer(status=404, payload='no such feed')
+            await connection.send(request.stream_id, missing)
+            return
+        after = request.headers.get(AFTER_HEADER, '')
+        connection.open_lines(request.stream_id)
+        async for line in feed_lines(name, after):
+            await connection.send_line(request.stream_id, line)
+
     def refuses(
         self,
         connection: ServerConnection,
@@ -212,6 +241,7 @@
                 path=request.headers[':path'],
                 payload=bytes(request.body),
                 flow=request.headers.get(FLOW_HEADER, ''),
+                timeout_ms=int(request.headers.get(TIMEOUT_HEADER, '0')),
             ),
         )
 
@@ -219,6 +249,10 @@
         """Write the answer of a request whose work is done."""
         self.done += 1
         path = request.headers[':path']
+        size = statement_size(path)
+        if size:
+            whole = statement(by=self.name, run=len(self.ledger), size=size)
+            return StandInAnswer(status=200, payload=whole)
         done = {'by': self.name, 'path': path, 'count': len(self.ledger)}
         return StandInAnswer(status=200, payload=json.dumps(done))
 
