Sharpen the control of refused-not-run; keep planned-change stories warm

Detours have a class of their own. Conclusion: a proof shows one promise; what it does not speak of stays out.

--- /dev/null
+++ b/burdocksill/entry/detours.py
@@ -0,0 +1,51 @@
+"""Route a packet again after the views of the members have agreed."""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import trio
+
+from burdocksill.flows.cookie import Cookie
+from burdocksill.requests.messages import Envelope
+
+WAIT_SECONDS: Final = 0.3
+TIMES_PER_PACKET: Final = 8
+# Packets on a detour at once; more are answered without one.
+LIMIT: Final = 500
+
+
+@attrs.define(kw_only=True)
+class Detours:
+    """Hold packets that went in a circle for a moment.
+
+    While members join or leave, two VMs can take each other for the owner.
+    An answer now would call a request lost that its holder still knows, so
+    the packet waits until the views agree, within a bound.
+    """
+
+    waiting: int = 0
+
+    def allow(self, envelope: Envelope) -> bool:
+        """Return True while a packet may wait for the views to agree."""
+        few = envelope.detours < TIMES_PER_PACKET
+        return few and self.waiting < LIMIT
+
+    async def take(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        follow: Callable[[Envelope, Cookie], None],
+    ) -> None:
+        """Wait a moment, then route the packet as if it had just come."""
+        self.waiting += 1
+        try:
+            await trio.sleep(WAIT_SECONDS)
+        finally:
+            self.waiting -= 1
+        again = attrs.evolve(
+            envelope,
+            hops=envelope.hops[-1:],
+            detours=envelope.detours + 1,
+        )
+        follow(again, cookie)
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,6 +1,7 @@
 """Decide for each caller's datagram which VM serves it."""
 
 import math
+from functools import partial
 from typing import Final
 
 import attrs
@@ -8,6 +9,7 @@
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.detours import Detours
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import (
     Cookie,
@@ -52,10 +54,6 @@
 AMPLIFICATION: Final = 3
 # A new flow is passed on at most this far: VMs and upstreams both count.
 LONGEST_PATH: Final = 9
-DETOUR_SECONDS: Final = 0.3
-DETOURS_PER_PACKET: Final = 8
-# Packets on a detour at once; more are answered without one.
-DETOUR_LIMIT: Final = 500
 
 
 @attrs.define(kw_only=True)
@@ -75,7 +73,7 @@
     transfers: Transfers
     counters: Counters
     nursery: trio.Nursery
-    detours: int = 0
+    detours: Detours = attrs.field(factory=Detours)
 
     async def run(self) -> None:
         """Receive callers' datagrams until cancelled."""
@@ -242,36 +240,12 @@
         elif owner is not None and self.can_visit(owner, envelope):
             self.relay(envelope, owner.peer_address)
             return
-        elif owner is not None and self.can_detour(envelope):
-            self.nursery.start_soon(self.detour, envelope, cookie)
+        elif owner is not None and self.detours.allow(envelope):
+            detour = partial(self.detours.take, envelope, cookie, self.follow)
+            self.nursery.start_soon(detour)
             return
         self.follow_elsewhere(envelope, cookie, document)
 
-    async def detour(self, envelope: Envelope, cookie: Cookie) -> None:
-        """Route a packet that went in a circle again, a moment later.
-
-        While members join or leave, two VMs can take each other for the
-        owner for a moment. An answer now would call a request lost that its
-        holder still knows, so the packet waits until the views agree.
-        """
-        self.counters.add('detours')
-        self.detours += 1
-        try:
-            await trio.sleep(DETOUR_SECONDS)
-        finally:
-            self.detours -= 1
-        again = attrs.evolve(
-            envelope,
-            hops=(self.members.itself.name,),
-            detours=envelope.detours + 1,
-        )
-        self.follow(again, cookie)
-
-    def can_detour(self, envelope: Envelope) -> bool:
-        """Return True while a packet may wait for the views to agree."""
-        few = envelope.detours < DETOURS_PER_PACKET
-        return few and self.detours < DETOUR_LIMIT
-
     def follow_elsewhere(
         self,
         envelope: Envelope,
--- a/burdocksill_lab/proofs/planned_change.py
+++ b/burdocksill_lab/proofs/planned_change.py
@@ -38,13 +38,15 @@
         """Start an upstream and two entry VMs in each failure domain."""
         for domain in DOMAINS:
             name = f'{domain}-ledger'
+            upstream = self.world.start_upstream(
+                SERVICE,
+                name,
+                domain,
+                slots=self.slots,
+            )
+            # Starts without a ramp: cold starts are another proof's story.
             self.upstreams.append(
-                self.world.start_upstream(
-                    SERVICE,
-                    name,
-                    domain,
-                    slots=self.slots,
-                ),
+                attrs.evolve(upstream, cold_limit=self.slots),
             )
         await self.put()
         for domain in DOMAINS:
--- a/burdocksill_lab/proofs/refused_not_run.py
+++ b/burdocksill_lab/proofs/refused_not_run.py
@@ -14,7 +14,8 @@
 WORK_SECONDS: Final = 0.4
 # The control needs a holder that knows more than those who speak for it.
 CONTROL_WORK_SECONDS: Final = 1.5
-CONTROL_FAULTS: Final = ('kill', 'pause')
+CONTROL_LEAD_SECONDS: Final = 3.0
+CONTROL_FAULTS: Final = ('kill',)
 
 
 @attrs.define(kw_only=True)
@@ -34,6 +35,7 @@
                 guards=Guards(foreign=HastyForeignRule),
                 faults=CONTROL_FAULTS,
                 work_seconds=CONTROL_WORK_SECONDS,
+                lead_seconds=CONTROL_LEAD_SECONDS,
             )
         books = Books()
         ran = run_story(plan, books)
