Give operators settings with checks, an admin interface and their commands

Settings were read one error at a time, the operators' commands were four, and nothing told from outside what a VM does.

- conf/catalog.py holds every setting with flag, variable, default and meaning; one start reports all wrong ones and ends with 2.
The reference page is compared with the catalog row by row.
- checks/ runs the checks that conf, documents and platform bring, with ids, levels and hints; burdocksill check ends with 1 at the chosen level.
- admin/ serves /status, /explain, /metrics and /health; status asks one VM and finds the others by its members, so it needs no platform.
- document get | put | check | diff | history, domain list, keys list, status, explain.
A file that was got carries its revision, so the later of two edits is refused (exit 3) instead of undoing the first.

History is read by a watch from the first revision: a record of our own was ruled out because it needs a second write with each edit and can disagree with its document.

A caller can write any service name into a request, so only names with a document become labels of counters; a test sends a made-up one.

--- /dev/null
+++ b/burdocksill/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' view of a VM: status, explanations, metrics, health."""
--- /dev/null
+++ b/burdocksill/admin/explain.py
@@ -0,0 +1,113 @@
+"""Say why a request or a flow went where it went."""
+
+import attrs
+
+from burdocksill.admin.exceptions import QueryInvalidError
+from burdocksill.admin.messages import CookieLine, DecisionLine, Explanation
+from burdocksill.entry.node import EntryNode
+from burdocksill.flows.cookie import Cookie, SignedCookieSealer, name_tag
+from burdocksill.flows.exceptions import CookieInvalidError, KeysMissingError
+from burdocksill.observe.decisions import Decision
+
+
+@attrs.frozen(kw_only=True)
+class ExplainQuery:
+    """Name a flow or a request, by what the operator has of it in hex."""
+
+    flow: str = ''
+    token: str = ''
+    cookie: str = ''
+
+    def require(self) -> None:
+        """Refuse a query that names nothing, or not in hex."""
+        for text in (self.flow, self.token, self.cookie):
+            try:
+                bytes.fromhex(text)
+            except ValueError as error:
+                raise QueryInvalidError(
+                    message=f'{text!r} is not hexadecimal',
+                    hint='write the bytes in hex, as burdocksill-call does',
+                ) from error
+        if not (self.flow or self.token or self.cookie):
+            raise QueryInvalidError(
+                message='nothing to explain was named',
+                hint='give a flow id, a token or a cookie',
+            )
+
+
+@attrs.frozen(kw_only=True)
+class OpenedCookie:
+    """Hold a cookie with the service that it was signed for."""
+
+    service: str
+    cookie: Cookie
+
+
+def explain(node: EntryNode, query: ExplainQuery) -> Explanation:
+    """Return what this VM remembers; raise QueryInvalidError."""
+    query.require()
+    opened = open_cookie(node, bytes.fromhex(query.cookie))
+    flow = opened.cookie.flow_id if opened else bytes.fromhex(query.flow)
+    decisions: list[Decision] = []
+    if query.token:
+        decisions = node.decisions.of_token(bytes.fromhex(query.token))
+    elif flow:
+        decisions = node.decisions.of_flow(flow)
+    name = node.settings.name
+    return Explanation(
+        node=name,
+        cookie=cookie_line(node, opened) if opened else None,
+        decisions=tuple(decision_line(name, kept) for kept in decisions),
+    )
+
+
+def open_cookie(node: EntryNode, sealed: bytes) -> OpenedCookie | None:
+    """Open a cookie with the service that it fits; None when it fits none."""
+    sealer = SignedCookieSealer(keys=node.keys, clock=node.clock)
+    for service in node.store.services if sealed else ():
+        try:
+            cookie = sealer.open(service=service, sealed=sealed)
+        except (CookieInvalidError, KeysMissingError):
+            continue
+        return OpenedCookie(service=service, cookie=cookie)
+    return None
+
+
+def cookie_line(node: EntryNode, opened: OpenedCookie) -> CookieLine:
+    """Write a cookie with the names that its tags stand for."""
+    cookie = opened.cookie
+    owner = node.membership.find(cookie.owner_tag)
+    return CookieLine(
+        service=opened.service,
+        flow=cookie.flow_id.hex(),
+        upstream=upstream_name(node, opened),
+        owner=owner.name if owner else f'unknown ({cookie.owner_tag.hex()})',
+        epoch=cookie.epoch.hex(),
+        age=cookie.age(node.clock.now()).value,
+        issued=cookie.issued,
+    )
+
+
+def upstream_name(node: EntryNode, opened: OpenedCookie) -> str:
+    """Return the name behind a cookie's upstream tag."""
+    tag = opened.cookie.upstream_tag
+    for upstream in node.store.services[opened.service].upstreams:
+        if name_tag(upstream.name) == tag:
+            return upstream.name
+    return f'unknown ({tag.hex()})'
+
+
+def decision_line(node: str, decision: Decision) -> DecisionLine:
+    """Write one decision as text."""
+    return DecisionLine(
+        at=decision.at,
+        node=node,
+        step=decision.step.value,
+        service=decision.service,
+        token=decision.token.hex(),
+        flow=decision.flow_id.hex(),
+        upstream=decision.upstream,
+        peer=decision.peer,
+        verdict=decision.verdict,
+        reason=decision.reason,
+    )
--- /dev/null
+++ b/burdocksill/admin/report.py
@@ -0,0 +1,167 @@
+"""Read a node's state into what operators see."""
+
+from collections import Counter
+from typing import Final
+
+from burdocksill import VERSION
+from burdocksill.admin.messages import (
+    DomainStatus,
+    MemberStatus,
+    NodeStatus,
+    OwnedStatus,
+    RecordStatus,
+    RefusalStatus,
+    ServiceStatus,
+    UpstreamState,
+)
+from burdocksill.documents.models import DomainState
+from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.node import EntryNode
+from burdocksill.observe.decisions import Decision, DecisionLog
+from burdocksill.ownership.owned import OwnedUpstream
+from burdocksill.platform import keys
+from burdocksill.requests.verdict import Reason
+from burdocksill.upstreams.client import VerifiedClient
+
+REFUSAL_SECONDS: Final = 60.0
+
+
+def node_status(node: EntryNode) -> NodeStatus:
+    """Return what a VM knows now; a starting VM knows little."""
+    settings = node.settings
+    ring = node.keys.ring
+    serving = node.serving.is_set()
+    return NodeStatus(
+        name=settings.name,
+        domain=settings.domain,
+        version=VERSION,
+        serving=serving,
+        quorate=node.membership.quorate(),
+        admin_port=settings.admin.port,
+        key_id=ring.current if ring else None,
+        members=member_lines(node),
+        owned=owned_lines(node) if serving else (),
+        records=tuple(
+            RecordStatus(key=record.key, revision=record.revision)
+            for record in node.store.records.values()
+        ),
+        services=service_lines(node.store),
+        domains_out=domain_lines(node.store),
+        refusals=refusal_lines(node.decisions),
+    )
+
+
+def member_lines(node: EntryNode) -> tuple[MemberStatus, ...]:
+    """Return the members that this VM believes in, by domain and name."""
+    itself = node.settings.domain
+    domains = {itself}.union(
+        *(document.domains for document in node.store.services.values()),
+    )
+    return tuple(
+        MemberStatus(
+            name=member.name,
+            domain=member.domain,
+            state=member.state.value,
+            host=member.peer_address.host,
+        )
+        for domain in sorted(domains)
+        for member in node.membership.live(domain)
+    )
+
+
+def owned_lines(node: EntryNode) -> tuple[OwnedStatus, ...]:
+    """Return the upstreams that this VM owns, by name."""
+    lines = [
+        owned_line(owned, node.store) for owned in node.owners.owned.values()
+    ]
+    return tuple(sorted(lines, key=lambda line: (line.service, line.upstream)))
+
+
+def owned_line(owned: OwnedUpstream, store: DocumentStore) -> OwnedStatus:
+    """Return the state of one owned upstream."""
+    upstream = owned.upstream
+    return OwnedStatus(
+        service=owned.document.service,
+        upstream=upstream.name,
+        domain=upstream.domain,
+        address=str(upstream.address),
+        epoch=owned.epoch.hex(),
+        state=upstream_state(owned, store),
+        busy=owned.running,
+        slots=upstream.slots,
+    )
+
+
+def upstream_state(
+    owned: OwnedUpstream,
+    store: DocumentStore,
+) -> UpstreamState:
+    """Name the state that most explains why work goes there or not."""
+    if store.is_out(owned.upstream.domain):
+        return UpstreamState.DOMAIN_OUT
+    if owned.upstream.draining:
+        return UpstreamState.DRAINING
+    client = owned.client
+    if isinstance(client, VerifiedClient) and client.connection is None:
+        return UpstreamState.UNREACHABLE
+    return UpstreamState.CONNECTED
+
+
+def service_lines(store: DocumentStore) -> tuple[ServiceStatus, ...]:
+    """Return the services with a document in force, by name."""
+    return tuple(
+        ServiceStatus(
+            service=name,
+            team=document.team,
+            upstreams=tuple(upstream.name for upstream in document.upstreams),
+            revision=revision_of(store, keys.document_key(name)),
+        )
+        for name, document in sorted(store.services.items())
+    )
+
+
+def domain_lines(store: DocumentStore) -> tuple[DomainStatus, ...]:
+    """Return the failure domains that are out, by name."""
+    return tuple(
+        DomainStatus(
+            domain=name,
+            reason=record.reason,
+            revision=revision_of(store, keys.domain_key(name)),
+        )
+        for name, record in sorted(store.domains.items())
+        if record.state is DomainState.OUT
+    )
+
+
+def revision_of(store: DocumentStore, key: str) -> int:
+    """Return the revision of a record in force, 0 for none."""
+    record = store.records.get(key)
+    return record.revision if record else 0
+
+
+def refusal_lines(decisions: DecisionLog) -> tuple[RefusalStatus, ...]:
+    """Count the refusals of the last minute, the most frequent first.
+
+    A flow that asks for its first cookie is answered so by design and is no
+    refusal that an operator could do anything about.
+    """
+    earliest = decisions.clock.now() - REFUSAL_SECONDS
+    counted = Counter(
+        refusal_key(decision)
+        for decision in decisions.refused_since(earliest)
+        if decision.reason != Reason.COOKIE_NEEDED.value
+    )
+    return tuple(
+        RefusalStatus(
+            service=service,
+            verdict=verdict,
+            reason=reason,
+            count=count,
+        )
+        for (service, verdict, reason), count in counted.most_common()
+    )
+
+
+def refusal_key(decision: Decision) -> tuple[str, str, str]:
+    """Return what refusals are counted by."""
+    return decision.service, decision.verdict, decision.reason
--- /dev/null
+++ b/burdocksill/checks/__init__.py
@@ -0,0 +1,1 @@
+"""System checks: messages with ids, levels and hints."""
--- /dev/null
+++ b/burdocksill/checks/catalog.py
@@ -0,0 +1,15 @@
+"""The checks of all slices, in the order in which they run."""
+
+from typing import Final
+
+from burdocksill.checks.registry import RegisteredCheck
+from burdocksill.conf.checks import check_settings
+from burdocksill.documents.checks import check_documents
+from burdocksill.platform.checks import check_platform
+
+CHECKS: Final = (
+    RegisteredCheck(tag='settings', check=check_settings),
+    RegisteredCheck(tag='documents', check=check_documents),
+    RegisteredCheck(tag='platform', check=check_platform),
+)
+TAGS: Final = tuple(entry.tag for entry in CHECKS)
--- /dev/null
+++ b/burdocksill/conf/checks.py
@@ -0,0 +1,55 @@
+"""Check the settings of an entry VM before it is started with them."""
+
+import ipaddress
+
+from burdocksill.checks.messages import (
+    CheckMessage,
+    error_message,
+    note,
+    warning,
+)
+from burdocksill.checks.registry import CheckContext
+from burdocksill.conf.exceptions import SettingsInvalidError
+from burdocksill.conf.settings import Settings, read_settings
+
+
+async def check_settings(context: CheckContext) -> list[CheckMessage]:
+    """Report every wrong setting, and right ones that look like slips."""
+    if not any(context.settings.values()):
+        return [note(1, 'no settings of an entry VM were given')]
+    try:
+        settings = read_settings(context.settings)
+    except SettingsInvalidError as invalid:
+        return [error_message(error) for error in invalid.errors]
+    return slips(settings)
+
+
+def slips(settings: Settings) -> list[CheckMessage]:
+    """Return warnings about settings that are valid but look wrong."""
+    found: list[CheckMessage] = []
+    if ipaddress.ip_address(settings.admin.host).is_unspecified:
+        found.append(
+            warning(
+                1,
+                f'--admin is {settings.admin}: every network can reach it',
+                'bind it to an internal address; it has no login',
+            ),
+        )
+    elif settings.admin.host != settings.peer.host:
+        found.append(
+            warning(
+                2,
+                f'--admin is on {settings.admin.host}, --peer on '
+                f'{settings.peer.host}',
+                'bind both to one host: status looks for VMs there',
+            ),
+        )
+    if settings.seed is not None:
+        found.append(
+            warning(
+                3,
+                '--seed makes cookies and epochs guessable',
+                'leave it out outside tests',
+            ),
+        )
+    return found
--- a/burdocksill/conf/settings.py
+++ b/burdocksill/conf/settings.py
@@ -1,15 +1,22 @@
-"""Settings of one entry VM and their documented defaults."""
+"""Settings of one entry VM, read from flags and environment."""
 
-import ipaddress
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
 
-from burdocksill.conf.exceptions import SettingInvalidError
+from burdocksill.conf.catalog import read_all
+from burdocksill.conf.exceptions import (
+    SettingsClashError,
+    SettingsInvalidError,
+)
+from burdocksill.conf.readers import parse_address, require_name
 from burdocksill.membership.protocols import Member
 from burdocksill.network.protocols import Address
 
-LARGEST_PORT: Final = 65535
+DEFAULT_LOG_LEVEL: Final = 'INFO'
+
+__all__ = ('Settings', 'parse_address', 'read_settings', 'require_name')
 
 
 @attrs.frozen(kw_only=True)
@@ -22,6 +29,8 @@
     peer: Address
     admin: Address
     platform: str
+    log_level: str = DEFAULT_LOG_LEVEL
+    trace_ratio: float = 0
     seed: int | None = None
 
     @property
@@ -34,30 +43,16 @@
         )
 
 
-def parse_address(setting: str, text: str) -> Address:
-    """Read host:port; name the setting, the value and the cure."""
-    host, separator, port = text.rpartition(':')
-    cure = 'write an IPv4 address and a port, as in 10.0.0.1:5683'
-    if not separator or not port.isdecimal() or int(port) > LARGEST_PORT:
-        raise SettingInvalidError(
-            message=f'{setting} is {text!r}',
-            hint=cure,
-        )
-    try:
-        ipaddress.ip_address(host)
-    except ValueError as error:
-        raise SettingInvalidError(
-            message=f'{setting} is {text!r}',
-            hint=cure,
-        ) from error
-    return Address(host, int(port))
-
-
-def require_name(setting: str, text: str) -> str:
-    """Refuse an empty or slashed name."""
-    if not text or '/' in text:
-        raise SettingInvalidError(
-            message=f'{setting} is {text!r}',
-            hint='give a name without a slash',
+def read_settings(given: Mapping[str, str | None]) -> Settings:
+    """Read all settings, or raise SettingsInvalidError with every error."""
+    settings = Settings(**read_all(given))
+    if settings.listen == settings.peer:
+        raise SettingsInvalidError(
+            errors=(
+                SettingsClashError(
+                    message=f'--listen and --peer are both {settings.peer}',
+                    hint='give each its own port',
+                ),
+            ),
         )
-    return text
+    return settings
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -18,6 +18,7 @@
 from burdocksill.membership.listed import ListedMembership
 from burdocksill.network.protocols import Network, WallClock
 from burdocksill.observe.counters import Counters
+from burdocksill.observe.decisions import DecisionLog
 from burdocksill.ownership.owned import OwnedUpstream
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
@@ -42,6 +43,7 @@
     counters: Counters = attrs.field(factory=Counters)
     keys: KeyHolder = attrs.field(factory=KeyHolder)
     guards: Guards = attrs.field(factory=Guards)
+    decisions: DecisionLog = attrs.field(init=False)
     store: DocumentStore = attrs.field(init=False)
     membership: ListedMembership = attrs.field(init=False)
     owners: OwnerTable = attrs.field(init=False)
@@ -50,6 +52,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
+        self.decisions = DecisionLog(clock=self.clock)
         self.store = DocumentStore(rule=self.guards.revision_rule())
         self.membership = ListedMembership(
             itself=self.settings.member,
@@ -104,6 +107,7 @@
             channel=channel,
             socket=await self.network.open_datagrams(self.settings.listen),
             counters=self.counters,
+            decisions=self.decisions,
             nursery=nursery,
         )
         channel.handlers[RelayRequest] = self.router.take_relayed
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -12,6 +12,7 @@
 from burdocksill.membership.protocols import MemberView
 from burdocksill.network.protocols import Address, Datagram, DatagramSocket
 from burdocksill.observe.counters import Counters
+from burdocksill.observe.decisions import DecisionLog, Step
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import Opened
@@ -38,6 +39,7 @@
     channel: PeerChannel
     socket: DatagramSocket
     counters: Counters
+    decisions: DecisionLog
     nursery: trio.Nursery
 
     async def run(self) -> None:
@@ -89,7 +91,7 @@
         try:
             self.route_checked(envelope)
         except RequestFailedError as failure:
-            self.reply(envelope, refusal(failure))
+            self.refuse(envelope, failure)
         except BurdocksillError:
             self.counters.add('unroutable')
 
@@ -125,6 +127,12 @@
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.NO_UPSTREAM,
             )
+        self.decisions.routed(
+            Step.PLACED,
+            envelope.request,
+            upstream=placement.upstream.name,
+            peer=placement.owner.name,
+        )
         if placement.owner == self.members.itself:
             self.open_flow(envelope, placement.upstream.name)
             return
@@ -143,6 +151,7 @@
                     verdict=Verdict.MAY_HAVE_RUN,
                     reason=Reason.OWNER_LOST,
                 )
+            self.note_followed(envelope, cookie, owner.name)
             self.relay(envelope, owner.peer_address)
             return
         owned = self.owners.find(envelope.request.service, cookie.upstream_tag)
@@ -151,6 +160,7 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 reason=Reason.EPOCH_CLOSED,
             )
+        self.note_followed(envelope, cookie, self.members.itself.name)
         self.nursery.start_soon(owned.serve, envelope, cookie)
 
     def open_flow(self, envelope: Envelope, upstream: str) -> None:
@@ -161,7 +171,7 @@
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.NO_UPSTREAM,
             )
-            self.reply(envelope, refusal(failure))
+            self.refuse(envelope, failure)
             return
         owned.open_flow(envelope)
 
@@ -183,7 +193,37 @@
         )
         self.channel.send(message, peer)
 
+    def note_followed(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        owner: str,
+    ) -> None:
+        """Keep to which VM a cookie led."""
+        self.decisions.routed(
+            Step.FOLLOWED,
+            envelope.request,
+            flow_id=cookie.flow_id,
+            peer=owner,
+        )
+
+    def refuse(self, envelope: Envelope, failure: RequestFailedError) -> None:
+        """Answer a request that this VM will not pass on, and say why."""
+        answer = refusal(failure)
+        # A caller can write any name of a service into a request; only names
+        # with a document become labels, or a scan would fill the memory.
+        service = envelope.request.service
+        self.counters.add(
+            'answers',
+            service=service if service in self.store.services else '',
+            upstream='',
+            verdict=answer.verdict.value,
+            reason=failure.reason.value,
+        )
+        self.reply(envelope, answer)
+
     def reply(self, envelope: Envelope, answer: Answer) -> None:
         """Send an answer straight to the caller."""
+        self.decisions.answered(envelope, answer)
         encoded = encode_answer(envelope.request, answer)
         self.socket.send(encoded, envelope.caller)
--- a/burdocksill/management/commands/document.py
+++ b/burdocksill/management/commands/document.py
@@ -1,16 +1,58 @@
 """The command group `burdocksill document`."""
 
+import re
+import sys
 from pathlib import Path
+from typing import Final
 
+import attrs
 import click
 
+from burdocksill.checks.messages import Level
 from burdocksill.documents.acceptance import Accepted, put_document
-from burdocksill.documents.exceptions import DocumentMissingError
+from burdocksill.documents.checks import check_file, read_text
 from burdocksill.documents.models import parse_document
-from burdocksill.management.running import run_command
-from burdocksill.platform.etcd import EtcdPlatform
+from burdocksill.management.commands.check import report
+from burdocksill.management.exits import Exit
+from burdocksill.management.force import InForce, wait_in_force
+from burdocksill.management.running import (
+    echo_json,
+    json_option,
+    pass_target,
+    run_command,
+)
+from burdocksill.management.stored import (
+    document_history,
+    read_document,
+    text_difference,
+)
+from burdocksill.management.target import Target
+from burdocksill.management.toml import document_text
 from burdocksill.platform.keys import document_key
-from burdocksill.platform.protocols import StoredValue
+from burdocksill.platform.protocols import Platform
+
+REVISION_LINE: Final = re.compile(r'^# revision (\d+)$', re.MULTILINE)
+file_argument = click.argument(
+    'path',
+    metavar='FILE',
+    type=click.Path(path_type=Path),
+)
+wait_option = click.option(
+    '--wait',
+    'wait_seconds',
+    type=float,
+    default=0,
+    metavar='SECONDS',
+    help='Wait until it is in force on every VM, and name where it is not.',
+)
+
+
+@attrs.frozen(kw_only=True)
+class PutOutcome:
+    """Hold what became of an edit."""
+
+    accepted: Accepted
+    in_force: InForce | None = None
 
 
 @click.group()
@@ -19,36 +61,145 @@
 
 
 @document.command()
-@click.argument('path', type=click.Path(exists=True, path_type=Path))
-@click.option('--expect', type=int, help='Revision that you edited.')
-@click.pass_obj
-def put(platform: str, path: Path, expect: int | None) -> None:
-    """Put a document in force."""
-    text = path.read_text()
-
-    async def write(store: EtcdPlatform) -> Accepted:
+@file_argument
+@click.option(
+    '--expect',
+    type=int,
+    help='Revision that you edited, 0 for a new one; default: the line '
+    '"# revision N" in the file, or whatever is stored.',
+)
+@wait_option
+@json_option
+@pass_target
+def put(
+    target: Target,
+    path: Path,
+    expect: int | None,
+    wait_seconds: float,
+    *,
+    as_json: bool,
+) -> None:
+    """Put a document in force.
+
+    \b
+    Exit codes: 0 accepted (and in force on every VM, with --wait), 1 refused,
+    3 somebody else changed it first, 4 accepted but not everywhere in time.
+    """
+
+    async def write(platform: Platform) -> PutOutcome:
+        text = read_text(path)
         parsed = parse_document(text)
-        return await put_document(store, parsed, expected_revision=expect)
+        accepted = await put_document(
+            platform,
+            parsed,
+            expected_revision=revision_of(text) if expect is None else expect,
+        )
+        if not wait_seconds:
+            return PutOutcome(accepted=accepted)
+        seen = await wait_in_force(
+            target,
+            document_key(parsed.service),
+            accepted.revision,
+            seconds=wait_seconds,
+        )
+        return PutOutcome(accepted=accepted, in_force=seen)
+
+    finish(run_command(target, write), as_json=as_json)
 
-    accepted = run_command(platform, write)
-    click.echo(f'accepted at revision {accepted.revision}')
+
+def finish(outcome: PutOutcome, *, as_json: bool) -> None:
+    """Print what became of an edit and end with its exit code."""
+    seen = outcome.in_force
+    if as_json:
+        echo_json(outcome)
+    else:
+        click.echo(f'accepted at revision {outcome.accepted.revision}')
+        if seen is not None:
+            show_in_force(seen)
+    if seen is not None and seen.not_on:
+        sys.exit(Exit.NOT_EVERYWHERE)
+
+
+def show_in_force(seen: InForce) -> None:
+    """Print on which VMs an edit is in force and on which it is not."""
+    total = len(seen.on) + len(seen.not_on)
+    click.echo(f'in force on {len(seen.on)} of {total} VMs')
+    for name in seen.not_on:
+        click.echo(f'not yet on {name}')
+
+
+def revision_of(text: str) -> int | None:
+    """Return the revision that `document get` wrote into a file."""
+    found = REVISION_LINE.search(text)
+    return int(found.group(1)) if found else None
 
 
 @document.command()
 @click.argument('service')
-@click.pass_obj
-def get(platform: str, service: str) -> None:
-    """Print a service's document as it is stored."""
-
-    async def read(store: EtcdPlatform) -> StoredValue:
-        stored = await store.read(document_key(service))
-        if stored is None:
-            raise DocumentMissingError(
-                message=f'there is no document of {service!r}',
-                hint='put one with: burdocksill document put FILE',
-            )
-        return stored
-
-    stored = run_command(platform, read)
+@json_option
+@pass_target
+def get(target: Target, service: str, *, as_json: bool) -> None:
+    """Print a service's document in the form that put reads."""
+    stored = run_command(target, lambda store: read_document(store, service))
+    if as_json:
+        echo_json(stored)
+        return
     click.echo(f'# revision {stored.revision}')
-    click.echo(stored.value.decode())
+    click.echo(document_text(stored.document), nl=False)
+
+
+@document.command()
+@file_argument
+@json_option
+def check(path: Path, *, as_json: bool) -> None:
+    """Check a document without putting it; needs no platform.
+
+    \b
+    Exit codes: 0 it could be put, 1 it would be refused.
+    """
+    messages = check_file(path)
+    report(messages, as_json=as_json)
+    refused = any(message.level is Level.ERROR for message in messages)
+    sys.exit(Exit.FAILED if refused else Exit.DONE)
+
+
+@document.command()
+@file_argument
+@pass_target
+def diff(target: Target, path: Path) -> None:
+    """Show what putting a document would change.
+
+    \b
+    Exit codes: 0 nothing, 1 something, or the command failed.
+    """
+
+    async def compare(platform: Platform) -> str:
+        wanted = parse_document(read_text(path))
+        stored = await read_document(platform, wanted.service)
+        return text_difference(
+            stored.label,
+            document_text(stored.document),
+            path.name,
+            document_text(wanted),
+        )
+
+    changes = run_command(target, compare)
+    click.echo(changes, nl=False)
+    sys.exit(Exit.FAILED if changes else Exit.DONE)
+
+
+@document.command()
+@click.argument('service')
+@json_option
+@pass_target
+def history(target: Target, service: str, *, as_json: bool) -> None:
+    """Show the revisions of a document that the platform still has."""
+    told = run_command(target, lambda store: document_history(store, service))
+    if as_json:
+        echo_json(told)
+        return
+    if not told.complete:
+        click.echo('the platform has compacted the earlier revisions')
+    for entry in told.entries:
+        click.echo(f'revision {entry.revision}, edit {entry.edit_id}')
+        click.echo(entry.changes)
--- a/burdocksill/management/commands/domain.py
+++ b/burdocksill/management/commands/domain.py
@@ -1,11 +1,43 @@
 """The command group `burdocksill domain`."""
 
+import attrs
 import click
 
-from burdocksill.documents.acceptance import Accepted, set_domain
+from burdocksill.documents.acceptance import set_domain
 from burdocksill.documents.models import DomainState
-from burdocksill.management.running import run_command
-from burdocksill.platform.etcd import EtcdPlatform
+from burdocksill.management.commands.document import (
+    PutOutcome,
+    finish,
+    wait_option,
+)
+from burdocksill.management.domains import list_domains
+from burdocksill.management.force import wait_in_force
+from burdocksill.management.running import (
+    echo_json,
+    json_option,
+    pass_target,
+    run_command,
+)
+from burdocksill.management.target import Target
+from burdocksill.platform.keys import domain_key
+from burdocksill.platform.protocols import Platform
+
+reason_option = click.option(
+    '--reason',
+    default='',
+    help='Why, for whoever reads status.',
+)
+
+
+@attrs.frozen(kw_only=True)
+class DomainEdit:
+    """Hold an operator's word on a failure domain and how long to wait."""
+
+    domain: str
+    state: DomainState
+    reason: str
+    wait_seconds: float
+    as_json: bool
 
 
 @click.group()
@@ -15,32 +47,102 @@
 
 @domain.command()
 @click.argument('name')
-@click.option('--reason', default='', help='Why, for whoever reads status.')
-@click.pass_obj
-def out(platform: str, name: str, reason: str) -> None:
-    """Take a failure domain out of service."""
-    change(platform, name, DomainState.OUT, reason)
+@reason_option
+@wait_option
+@json_option
+@pass_target
+def out(
+    target: Target,
+    name: str,
+    reason: str,
+    wait_seconds: float,
+    *,
+    as_json: bool,
+) -> None:
+    """Take a failure domain out of service.
+
+    \b
+    Exit codes: 0 accepted (and known on every VM, with --wait), 1 refused,
+    3 somebody else changed it first, 4 accepted but not known everywhere.
+    """
+    change(
+        target,
+        DomainEdit(
+            domain=name,
+            state=DomainState.OUT,
+            reason=reason,
+            wait_seconds=wait_seconds,
+            as_json=as_json,
+        ),
+    )
 
 
 @domain.command('return')
 @click.argument('name')
-@click.option('--reason', default='', help='Why, for whoever reads status.')
-@click.pass_obj
-def bring_back(platform: str, name: str, reason: str) -> None:
-    """Return a failure domain to service."""
-    change(platform, name, DomainState.IN_SERVICE, reason)
+@reason_option
+@wait_option
+@json_option
+@pass_target
+def bring_back(
+    target: Target,
+    name: str,
+    reason: str,
+    wait_seconds: float,
+    *,
+    as_json: bool,
+) -> None:
+    """Return a failure domain to service.
+
+    \b
+    Exit codes are those of `burdocksill domain out`.
+    """
+    change(
+        target,
+        DomainEdit(
+            domain=name,
+            state=DomainState.IN_SERVICE,
+            reason=reason,
+            wait_seconds=wait_seconds,
+            as_json=as_json,
+        ),
+    )
 
 
-def change(platform: str, name: str, state: DomainState, reason: str) -> None:
+def change(target: Target, edit: DomainEdit) -> None:
     """Write a failure domain's state and say under which revision."""
 
-    async def write(store: EtcdPlatform) -> Accepted:
-        return await set_domain(
-            store,
-            domain=name,
-            state=state,
-            reason=reason,
+    async def write(platform: Platform) -> PutOutcome:
+        accepted = await set_domain(
+            platform,
+            domain=edit.domain,
+            state=edit.state,
+            reason=edit.reason,
         )
+        if not edit.wait_seconds:
+            return PutOutcome(accepted=accepted)
+        seen = await wait_in_force(
+            target,
+            domain_key(edit.domain),
+            accepted.revision,
+            seconds=edit.wait_seconds,
+        )
+        return PutOutcome(accepted=accepted, in_force=seen)
+
+    outcome = run_command(target, write)
+    if not edit.as_json:
+        click.echo(f'{edit.domain} is {edit.state.value}')
+    finish(outcome, as_json=edit.as_json)
+
 
-    accepted = run_command(platform, write)
-    click.echo(f'{name} is {state.value} at revision {accepted.revision}')
+@domain.command('list')
+@json_option
+@pass_target
+def show_list(target: Target, *, as_json: bool) -> None:
+    """List failure domains with their state and why they are out."""
+    lines = run_command(target, list_domains)
+    if as_json:
+        echo_json(lines)
+        return
+    for line in lines:
+        why = f': {line.reason}' if line.reason else ''
+        click.echo(f'{line.domain} {line.state.value}{why}')
--- a/burdocksill/management/commands/keys.py
+++ b/burdocksill/management/commands/keys.py
@@ -1,28 +1,50 @@
 """The command group `burdocksill keys`."""
 
+import attrs
 import click
 
 from burdocksill.documents.exceptions import DocumentConflictError
+from burdocksill.flows.exceptions import KeysMissingError
 from burdocksill.flows.keys import KeyRing, decode_ring, encode_ring, rotate
-from burdocksill.management.running import run_command
-from burdocksill.platform.etcd import EtcdPlatform
+from burdocksill.management.running import (
+    echo_json,
+    json_option,
+    pass_target,
+    run_command,
+)
+from burdocksill.management.target import Target
 from burdocksill.platform.keys import FLEET_KEYS
+from burdocksill.platform.protocols import Platform
+
+
+@attrs.frozen(kw_only=True)
+class KeyLine:
+    """Name one key; its secret is never shown."""
+
+    key_id: int
+    signs: bool
 
 
 @click.group()
 def keys() -> None:
-    """Make and rotate the fleet's keys."""
+    """Make, rotate and list the fleet's keys."""
 
 
 @keys.command('rotate')
-@click.pass_obj
-def rotate_keys(platform: str) -> None:
-    """Make a new signing key; the one before it stays accepted."""
+@pass_target
+def rotate_keys(target: Target) -> None:
+    """Make a new signing key; the one before it stays accepted.
 
-    async def write(store: EtcdPlatform) -> KeyRing:
-        stored = await store.read(FLEET_KEYS)
+    \b
+    Wait ten minutes before the next rotation: cookies that the key before
+    last signed are refused from then on.
+    Exit codes: 0 rotated, 1 failed, 3 somebody else rotated just now.
+    """
+
+    async def write(platform: Platform) -> KeyRing:
+        stored = await platform.read(FLEET_KEYS)
         ring = rotate(decode_ring(stored.value) if stored else None)
-        swap = await store.swap(
+        swap = await platform.swap(
             key=FLEET_KEYS,
             value=encode_ring(ring),
             expected_revision=stored.revision if stored else 0,
@@ -34,5 +56,33 @@
             )
         return ring
 
-    ring = run_command(platform, write)
+    ring = run_command(target, write)
     click.echo(f'key {ring.current} signs, {len(ring.keys)} are accepted')
+
+
+@keys.command('list')
+@json_option
+@pass_target
+def list_keys(target: Target, *, as_json: bool) -> None:
+    """List the keys that are accepted, without their secrets."""
+
+    async def read(platform: Platform) -> KeyRing:
+        stored = await platform.read(FLEET_KEYS)
+        if stored is None:
+            raise KeysMissingError(
+                message='the platform holds no fleet keys',
+                hint='run: burdocksill keys rotate',
+            )
+        return decode_ring(stored.value)
+
+    ring = run_command(target, read)
+    lines = [
+        KeyLine(key_id=key.key_id, signs=key.key_id == ring.current)
+        for key in ring.keys
+    ]
+    if as_json:
+        echo_json(lines)
+        return
+    for line in lines:
+        use = 'signs' if line.signs else 'is accepted'
+        click.echo(f'key {line.key_id} {use}')
--- /dev/null
+++ b/burdocksill/management/domains.py
@@ -0,0 +1,61 @@
+"""List the failure domains that documents and operators name."""
+
+import attrs
+import msgspec
+
+from burdocksill.documents.exceptions import DocumentInvalidError
+from burdocksill.documents.models import (
+    DomainRecord,
+    DomainState,
+    decode_document,
+)
+from burdocksill.platform import keys
+from burdocksill.platform.protocols import Platform, StoredValue
+
+
+@attrs.frozen(kw_only=True)
+class DomainLine:
+    """Hold one failure domain; revision 0 means that nobody spoke of it."""
+
+    domain: str
+    state: DomainState
+    reason: str = ''
+    revision: int = 0
+
+
+async def list_domains(platform: Platform) -> tuple[DomainLine, ...]:
+    """Return every failure domain that a document or an operator names."""
+    snapshot = await platform.read_prefix(keys.PREFIX)
+    lines: dict[str, DomainLine] = {}
+    for stored in snapshot.values:
+        if stored.key.startswith(keys.DOCUMENTS):
+            lines = named_by(stored) | lines
+        elif stored.key.startswith(keys.DOMAINS):
+            line = decode_line(stored)
+            lines[line.domain] = line
+    return tuple(sorted(lines.values(), key=lambda known: known.domain))
+
+
+def named_by(stored: StoredValue) -> dict[str, DomainLine]:
+    """Return the failure domains of a document, as if all were in service."""
+    return {
+        name: DomainLine(domain=name, state=DomainState.IN_SERVICE)
+        for name in decode_document(stored.value).domains
+    }
+
+
+def decode_line(stored: StoredValue) -> DomainLine:
+    """Read an operator's word on one failure domain."""
+    try:
+        record = msgspec.json.decode(stored.value, type=DomainRecord)
+    except msgspec.MsgspecError as error:
+        raise DocumentInvalidError(
+            message=f'{stored.key} cannot be read: {error}',
+            hint='write it again with: burdocksill domain out | return',
+        ) from error
+    return DomainLine(
+        domain=record.domain,
+        state=record.state,
+        reason=record.reason,
+        revision=stored.revision,
+    )
--- /dev/null
+++ b/burdocksill/management/exits.py
@@ -0,0 +1,14 @@
+"""Exit codes of the operators' commands; docs/reference/exit-codes.md."""
+
+import enum
+
+
+class Exit(enum.IntEnum):
+    """Say by a number how a command ended."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_EVERYWHERE = 4
+    UNREACHABLE = 5
--- /dev/null
+++ b/burdocksill/management/history.py
@@ -0,0 +1,45 @@
+"""The earlier revisions of a record, as the platform still has them.
+
+The platform keeps old revisions until it is compacted, so the history is
+read by a watch that starts in the past. A history of our own would need a
+second write with every edit, could disagree with the document it belongs to
+and would grow towards the largest value that the platform takes.
+"""
+
+from contextlib import aclosing
+
+import attrs
+import trio
+
+from burdocksill.platform.protocols import Platform, StoredValue
+
+FIRST_REVISION = 1
+READ_SECONDS = 5.0
+
+
+@attrs.frozen(kw_only=True)
+class History:
+    """Hold revisions, the oldest first; older ones may be compacted."""
+
+    revisions: tuple[StoredValue, ...]
+    complete: bool
+
+
+async def read_history(platform: Platform, key: str) -> History:
+    """Return what the platform still has of a record."""
+    current = await platform.read(key)
+    if current is None:
+        return History(revisions=(), complete=True)
+    found: list[StoredValue] = []
+    with trio.move_on_after(READ_SECONDS):
+        changes = platform.watch(prefix=key, from_revision=FIRST_REVISION)
+        async with aclosing(changes):
+            async for change in changes:
+                # A watch follows a prefix; other names may begin alike.
+                if change.key == key:
+                    found.append(change)
+                if change.revision >= current.revision:
+                    break
+    if current.revision not in {kept.revision for kept in found}:
+        return History(revisions=(current,), complete=False)
+    return History(revisions=tuple(found), complete=True)
--- a/burdocksill/management/running.py
+++ b/burdocksill/management/running.py
@@ -1,30 +1,73 @@
-"""Run an operator's command against the platform."""
+"""Run an operator's command and end with its exit code."""
 
+import json
 import sys
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Final, NoReturn, TypeVar
 
 import click
+import msgspec
 import trio
 
+from burdocksill.admin.exceptions import AdminUnreachableError
+from burdocksill.conf.exceptions import SettingInvalidError
+from burdocksill.documents.exceptions import DocumentConflictError
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.platform.etcd import EtcdPlatform
+from burdocksill.management.exits import Exit
+from burdocksill.management.target import Target
+from burdocksill.platform.protocols import Platform
 
 Outcome = TypeVar('Outcome')
-EXIT_FAILED = 1
+JSON_INDENT: Final = 2
+
+pass_target = click.make_pass_decorator(Target)
+json_option = click.option(
+    '--json',
+    'as_json',
+    is_flag=True,
+    help='Print JSON for scripts.',
+)
 
 
 def run_command(
-    platform: str,
-    command: Callable[[EtcdPlatform], Awaitable[Outcome]],
+    target: Target,
+    command: Callable[[Platform], Awaitable[Outcome]],
 ) -> Outcome:
-    """Run a command; print an error with its code and cure, and exit 1."""
+    """Run a command against the platform."""
 
     async def call() -> Outcome:
-        return await command(EtcdPlatform(endpoint=platform))
+        return await command(target.platform())
+
+    return run_async(call)
+
 
+def run_async(command: Callable[[], Awaitable[Outcome]]) -> Outcome:
+    """Run a command; print an error with its code and cure, and exit."""
     try:
-        return trio.run(call)
+        return trio.run(command)
     except BurdocksillError as error:
-        click.echo(str(error), err=True)
-        sys.exit(EXIT_FAILED)
+        fail(error)
+
+
+def fail(error: BurdocksillError) -> NoReturn:
+    """Print an error and end with the exit code of its kind."""
+    click.echo(str(error), err=True)
+    sys.exit(exit_code(error))
+
+
+def exit_code(error: BurdocksillError) -> Exit:
+    """Return the exit code of an error."""
+    match error:
+        case SettingInvalidError():
+            return Exit.USAGE
+        case DocumentConflictError():
+            return Exit.CONFLICT
+        case AdminUnreachableError():
+            return Exit.UNREACHABLE
+    return Exit.FAILED
+
+
+def echo_json(told: object) -> None:
+    """Print a typed message as indented JSON."""
+    plain = msgspec.to_builtins(told)
+    click.echo(json.dumps(plain, indent=JSON_INDENT))
--- /dev/null
+++ b/burdocksill/management/stored.py
@@ -0,0 +1,113 @@
+"""Documents as the platform holds them, read for operators."""
+
+import difflib
+
+import attrs
+
+from burdocksill.documents.exceptions import DocumentMissingError
+from burdocksill.documents.models import ServiceDocument, decode_document
+from burdocksill.management.history import read_history
+from burdocksill.management.toml import document_text
+from burdocksill.platform.keys import document_key
+from burdocksill.platform.protocols import Platform
+
+
+@attrs.frozen(kw_only=True)
+class StoredDocument:
+    """Hold a document with the revision that accepted it."""
+
+    revision: int
+    document: ServiceDocument
+
+    @property
+    def label(self) -> str:
+        """Name the document in a comparison."""
+        return f'{self.document.service} revision {self.revision}'
+
+
+@attrs.frozen(kw_only=True)
+class HistoryEntry:
+    """Hold one revision and what it changed."""
+
+    revision: int
+    edit_id: str
+    changes: str
+
+
+@attrs.frozen(kw_only=True)
+class DocumentHistory:
+    """Hold the revisions that are left, the oldest first."""
+
+    service: str
+    complete: bool
+    entries: tuple[HistoryEntry, ...]
+
+
+async def read_document(platform: Platform, service: str) -> StoredDocument:
+    """Return a service's document; raise DocumentMissingError."""
+    stored = await platform.read(document_key(service))
+    if stored is None:
+        raise DocumentMissingError(
+            message=f'there is no document of {service!r}',
+            hint='put one with: burdocksill document put FILE',
+        )
+    return StoredDocument(
+        revision=stored.revision,
+        document=decode_document(stored.value),
+    )
+
+
+async def document_history(platform: Platform, service: str) -> DocumentHistory:
+    """Return the changes from revision to revision."""
+    told = await read_history(platform, document_key(service))
+    if not told.revisions:
+        raise DocumentMissingError(
+            message=f'there is no document of {service!r}',
+            hint='put one with: burdocksill document put FILE',
+        )
+    before: StoredDocument | None = None
+    entries: list[HistoryEntry] = []
+    for stored in told.revisions:
+        after = StoredDocument(
+            revision=stored.revision,
+            document=decode_document(stored.value),
+        )
+        entries.append(
+            HistoryEntry(
+                revision=after.revision,
+                edit_id=after.document.edit_id,
+                changes=difference(before, after),
+            ),
+        )
+        before = after
+    return DocumentHistory(
+        service=service,
+        complete=told.complete,
+        entries=tuple(entries),
+    )
+
+
+def difference(before: StoredDocument | None, after: StoredDocument) -> str:
+    """Return a unified diff of two revisions, empty when they are alike."""
+    return text_difference(
+        before.label if before else 'nothing',
+        document_text(before.document) if before else '',
+        after.label,
+        document_text(after.document),
+    )
+
+
+def text_difference(
+    old_label: str,
+    old: str,
+    new_label: str,
+    new: str,
+) -> str:
+    """Return a unified diff of two texts."""
+    lines = difflib.unified_diff(
+        old.splitlines(keepends=True),
+        new.splitlines(keepends=True),
+        old_label,
+        new_label,
+    )
+    return ''.join(lines)
--- a/burdocksill/observe/counters.py
+++ b/burdocksill/observe/counters.py
@@ -1,14 +1,24 @@
 """Counters and histograms of one VM, in the Prometheus text format."""
 
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Metric,
+    generate_latest,
+)
+from prometheus_client.registry import Collector
 
 LOWEST_MICROSECONDS: Final = 1
 HIGHEST_MICROSECONDS: Final = 3_600_000_000
 SIGNIFICANT_FIGURES: Final = 2
+MICROSECONDS: Final = 1_000_000
+QUANTILES: Final = (0.5, 0.9, 0.99, 0.999, 1)
+PERCENT: Final = 100
 PREFIX: Final = 'burdocksill_'
 
 
@@ -21,6 +31,33 @@
     )
 
 
+@attrs.define(kw_only=True, eq=False)
+class HistogramCollector(Collector):
+    """Show histograms as summaries, one line for each quantile."""
+
+    histograms: dict[str, HdrHistogram]
+
+    def collect(self) -> Iterator[Metric]:
+        """Return one summary for each histogram."""
+        for name, histogram in self.histograms.items():
+            yield summary(name, histogram)
+
+
+def summary(name: str, histogram: HdrHistogram) -> Metric:
+    """Write a histogram as a summary in seconds."""
+    family = f'{PREFIX}{name}_seconds'
+    metric = Metric(family, name.replace('_', ' '), 'summary')
+    for quantile in QUANTILES:
+        microseconds = histogram.get_value_at_percentile(quantile * PERCENT)
+        metric.add_sample(
+            family,
+            {'quantile': str(quantile)},
+            microseconds / MICROSECONDS,
+        )
+    metric.add_sample(f'{family}_count', {}, histogram.get_total_count())
+    return metric
+
+
 @attrs.define(kw_only=True)
 class Counters:
     """Count by name and labels; one instance for each VM."""
@@ -29,6 +66,10 @@
     families: dict[str, Counter] = attrs.field(factory=dict)
     histograms: dict[str, HdrHistogram] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Let the histograms be rendered with the counters."""
+        self.registry.register(HistogramCollector(histograms=self.histograms))
+
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter; its label names are those of the first call."""
         family = self.families.get(name)
@@ -54,7 +95,7 @@
         if histogram is None:
             histogram = make_histogram()
             self.histograms[name] = histogram
-        histogram.record_value(max(1, int(seconds * 1_000_000)))
+        histogram.record_value(max(1, int(seconds * MICROSECONDS)))
 
     def render(self) -> str:
         """Write all counters in the Prometheus text format."""
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -46,6 +46,7 @@
     counters: Counters
     reply: Callable[[Envelope, Answer], None]
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    running: int = 0
 
     async def run(self) -> None:
         """Keep the connection until the upstream is released."""
@@ -94,7 +95,13 @@
             self.counters.add('duplicates_answered')
             self.finish(envelope, claim.answer)
             return
-        answer = await self.attempt(envelope, cookie)
+        self.running += 1
+        began = trio.current_time()
+        try:
+            answer = await self.attempt(envelope, cookie)
+        finally:
+            self.running -= 1
+        self.counters.record('request', trio.current_time() - began)
         self.window.settle(key, answer)
         self.finish(envelope, answer)
 
@@ -121,6 +128,7 @@
         self.counters.add(
             'answers',
             service=self.document.service,
+            upstream=self.upstream.name,
             verdict=answer.verdict.value,
             reason=answer.reason.value if answer.reason else 'none',
         )
--- /dev/null
+++ b/tests/admin/status.feature
@@ -0,0 +1,46 @@
+Feature: Status and explanations from any entry VM
+  An operator is woken at night. The platform is down, one VM is dead, and a
+  kiosk says that its count was refused. One command on any VM that is left
+  must show the fleet and say why; it cannot ask the platform.
+
+  Scenario: Status finds every VM from one of them, with the platform down
+    Given a watched fleet of three entry VMs and three upstreams
+    When the platform goes down and the VM in "cz-c" dies
+    And status is asked of the VM in "cz-b"
+    Then status shows 2 VMs that answer and "cz-c-entry-1" that does not
+    And status shows "kiosk-ledger" revision and owner
+    And the status screen has the lines
+      | line                                   |
+      | ENTRY VMS  2 of 3 answer               |
+      | !! cz-c-entry-1 does not answer        |
+      | FAILURE DOMAINS OUT  none              |
+      | ok kiosk-ledger/ledger-1 in cz-a       |
+      | REFUSED IN THE LAST MINUTE  none       |
+
+  Scenario: A flow is explained by its cookie over all VMs
+    Given a watched fleet of three entry VMs and three upstreams
+    When a watched caller sends 3 requests
+    And its cookie is explained
+    Then the explanation names upstream "ledger-1" and owner "cz-a-entry-1"
+    And the explanation tells of 3 answers that ran
+
+  Scenario: A refused request is explained and counted with its reason
+    Given a watched fleet of three entry VMs and three upstreams
+    When a watched caller asks for an unknown service
+    And status is asked of the VM in "cz-b"
+    Then status counts a refusal "service-unknown"
+    And no metric names the unknown service
+
+  Scenario: A query that names nothing is refused with its cure
+    Given a watched fleet of three entry VMs and three upstreams
+    Then explaining "xyz" fails with "burdocksill.E104"
+
+  Scenario: Metrics are Prometheus text with quantiles
+    Given a watched fleet of three entry VMs and three upstreams
+    When a watched caller sends 3 requests
+    Then metrics of the owner hold
+      | text                                          |
+      | burdocksill_answers_total{                    |
+      | upstream="ledger-1",verdict="ran"             |
+      | burdocksill_request_seconds{quantile="0.99"}  |
+      | burdocksill_request_seconds_count 3           |
--- /dev/null
+++ b/tests/checks/checks.feature
@@ -0,0 +1,38 @@
+Feature: System checks
+  Before a VM starts or a document is put, an operator asks what is wrong.
+  A check must find everything at once and must not stop at an unreachable
+  platform, or the settings behind it would go unread.
+
+  Scenario: Settings, documents and the platform are reported together
+    Given settings of an entry VM
+    And the setting "listen" is "nowhere"
+    And the setting "admin" is "0.0.0.0:5691"
+    And the system checks get a document without upstreams
+    And the system checks get a platform that is down
+    When the system checks run
+    Then the system checks report
+      | id               | level |
+      | burdocksill.E003 | ERROR |
+      | burdocksill.E201 | ERROR |
+      | burdocksill.E101 | ERROR |
+
+  Scenario: Slips in valid settings and documents are warnings
+    Given settings of an entry VM
+    And the setting "admin" is "0.0.0.0:5691"
+    And the setting "seed" is "7"
+    And the system checks get a document in one failure domain
+    And the system checks get an empty platform
+    When the system checks run
+    Then the system checks report
+      | id               | level   |
+      | burdocksill.W001 | WARNING |
+      | burdocksill.W003 | WARNING |
+      | burdocksill.W201 | WARNING |
+      | burdocksill.W101 | WARNING |
+      | burdocksill.W102 | WARNING |
+      | burdocksill.W103 | WARNING |
+
+  Scenario: The command's exit code follows the level
+    Then burdocksill check on a wrong setting ends with 1
+    And burdocksill check on a slip ends with 0
+    And burdocksill check on a slip that must not be ends with 1
--- /dev/null
+++ b/tests/conf/settings.feature
@@ -0,0 +1,41 @@
+Feature: Settings of an entry VM
+  An operator starts a VM with several slips at once. If the program named
+  only the first, each start would show the next one, in the middle of an
+  incident; so one start names all of them, each with its cure.
+
+  Scenario: Every wrong setting is named in one go
+    Given settings of an entry VM
+    And the setting "listen" is "10.0.0.1"
+    And the setting "platform" is "10.0.0.9:2379"
+    And the setting "trace_ratio" is "2"
+    And the setting "name" is left out
+    When the settings are read
+    Then the settings errors are
+      | code             | flag          |
+      | burdocksill.E002 | --name        |
+      | burdocksill.E003 | --listen      |
+      | burdocksill.E005 | --platform    |
+      | burdocksill.E007 | --trace-ratio |
+    And each settings error has a cure
+
+  Scenario: Two sockets on one address are refused
+    Given settings of an entry VM
+    And the setting "peer" is "10.0.0.1:5683"
+    When the settings are read
+    Then the settings errors are
+      | code             | flag     |
+      | burdocksill.E008 | --listen |
+
+  Scenario: Defaults hold where nothing is given
+    Given settings of an entry VM
+    When the settings are read
+    Then the settings are valid
+    And the setting "log_level" has the value "INFO"
+
+  Scenario: The program ends with 2 and prints all errors
+    When burdocksill-entry is started with "--name a/b --listen nowhere"
+    Then it ends with 2
+    And its error output names "--name" and "--listen" and "--domain"
+
+  Scenario: The reference page lists every setting as the code has it
+    Then docs/reference/settings.md has a row for every setting
--- /dev/null
+++ b/tests/steps/conf_settings.py
@@ -0,0 +1,117 @@
+"""Steps about settings."""
+
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+from click.testing import CliRunner
+
+from burdocksill.conf.catalog import CATALOG
+from burdocksill.conf.exceptions import SettingsInvalidError
+from burdocksill.conf.settings import read_settings
+from burdocksill.entry.main import main
+
+REFERENCE = Path(__file__).parents[2] / 'docs/reference/settings.md'
+
+
+@given('settings of an entry VM')
+def give_settings(context: Context) -> None:
+    """Give what has no default."""
+    context.given_settings = {
+        'name': 'cz-a-entry-1',
+        'domain': 'cz-a',
+        'listen': '10.0.0.1:5683',
+        'peer': '10.0.0.1:5690',
+        'admin': '10.0.0.1:5691',
+        'platform': 'http://10.0.0.9:2379',
+    }
+
+
+@given('the setting "{name}" is "{text}"')
+def give_one(context: Context, name: str, text: str) -> None:
+    """Replace one setting."""
+    context.given_settings[name] = text
+
+
+@given('the setting "{name}" is left out')
+def leave_out(context: Context, name: str) -> None:
+    """Take one setting away."""
+    context.given_settings.pop(name)
+
+
+@when('the settings are read')
+def read(context: Context) -> None:
+    """Keep the settings or their errors."""
+    context.settings_errors = ()
+    try:
+        context.settings = read_settings(context.given_settings)
+    except SettingsInvalidError as invalid:
+        context.settings_errors = invalid.errors
+
+
+@then('the settings errors are')
+def check_errors(context: Context) -> None:
+    """Compare codes and flags in order."""
+    expected = [(row['code'], row['flag']) for row in context.table]
+    found = [
+        (error.code, error.message.split()[0])
+        for error in context.settings_errors
+    ]
+    assert found == expected, found
+
+
+@then('each settings error has a cure')
+def check_cures(context: Context) -> None:
+    """Look for hints."""
+    assert all(error.hint for error in context.settings_errors)
+
+
+@then('the settings are valid')
+def check_valid(context: Context) -> None:
+    """Look for errors."""
+    assert not context.settings_errors, context.settings_errors
+
+
+@then('the setting "{name}" has the value "{text}"')
+def check_value(context: Context, name: str, text: str) -> None:
+    """Compare one value."""
+    assert str(getattr(context.settings, name)) == text
+
+
+@when('burdocksill-entry is started with "{arguments}"')
+def start_wrong(context: Context, arguments: str) -> None:
+    """Run the command in this process; it ends before it serves."""
+    context.ended = CliRunner().invoke(main, arguments.split())
+
+
+@then('it ends with {code:d}')
+def check_exit(context: Context, code: int) -> None:
+    """Compare the exit code."""
+    assert context.ended.exit_code == code, context.ended.output
+
+
+@then('its error output names "{first}" and "{second}" and "{third}"')
+def check_output(context: Context, first: str, second: str, third: str) -> None:
+    """Look for all three."""
+    for flag in (first, second, third):
+        assert flag in context.ended.output, context.ended.output
+
+
+@then('docs/reference/settings.md has a row for every setting')
+def check_reference(context: Context) -> None:
+    """Compare the page with the catalog, row by row."""
+    lines = REFERENCE.read_text().splitlines()
+    rows = [line for line in lines if line.startswith('| `--')]
+    expected = [
+        f'| `{setting.flag}` | `{setting.variable}` | '
+        f'{default_of(setting.default)} | {setting.meaning} |'
+        for setting in CATALOG
+    ]
+    assert rows == expected, '\n'.join(expected)
+
+
+def default_of(default: str | None) -> str:
+    """Write a default as the page does."""
+    if default is None:
+        return 'required'
+    return f'`{default}`' if default else 'none'
