--- a/burdocksill/admin/explain.py
+++ b/burdocksill/admin/explain.py
@@ -49,10 +49,10 @@
     opened = open_cookie(node, bytes.fromhex(query.cookie))
     flow = opened.cookie.flow_id if opened else bytes.fromhex(query.flow)
     decisions: list[Decision] = []
-    if query.token:
-        decisions = node.decisions.of_token(bytes.fromhex(query.token))
-    elif flow:
-        decisions = node.decisions.of_flow(flow)
+    token = bytes.fromhex(query.token)
+    if node.serving.is_set() and (token or flow):
+        log = node.router.decisions
+        decisions = log.of_token(token) if token else log.of_flow(flow)
     name = node.settings.name
     return Explanation(
         node=name,
--- a/burdocksill/admin/messages.py
+++ b/burdocksill/admin/messages.py
@@ -34,6 +34,7 @@
     domain: str
     address: str
     epoch: str
+    tenure: str
     state: UpstreamState
     busy: int
     slots: int
--- a/burdocksill/admin/report.py
+++ b/burdocksill/admin/report.py
@@ -47,7 +47,7 @@
         ),
         services=service_lines(node.store),
         domains_out=domain_lines(node.store),
-        refusals=refusal_lines(node.decisions),
+        refusals=refusal_lines(node.router.decisions) if serving else (),
     )
 
 
@@ -65,7 +65,10 @@
             host=member.peer_address.host,
         )
         for domain in sorted(domains)
-        for member in node.membership.live(domain)
+        for member in (
+            *node.membership.live(domain),
+            *node.membership.leaving(domain),
+        )
     )
 
 
@@ -80,14 +83,16 @@
 def owned_line(owned: OwnedUpstream, store: DocumentStore) -> OwnedStatus:
     """Return the state of one owned upstream."""
     upstream = owned.upstream
+    current = owned.epochs.current
     return OwnedStatus(
         service=owned.document.service,
         upstream=upstream.name,
         domain=upstream.domain,
         address=str(upstream.address),
-        epoch=owned.epoch.hex(),
+        epoch=current.epoch.hex() if current else '',
+        tenure=owned.tenure.value,
         state=upstream_state(owned, store),
-        busy=owned.running,
+        busy=owned.progress.running,
         slots=upstream.slots,
     )
 
--- a/burdocksill/management/screen.py
+++ b/burdocksill/management/screen.py
@@ -10,6 +10,7 @@
 
 from burdocksill.admin.client import FleetStatus
 from burdocksill.admin.messages import NodeStatus, OwnedStatus, UpstreamState
+from burdocksill.ownership.owned import Tenure
 
 IN_ORDER: Final = 'none'
 
@@ -139,10 +140,12 @@
 
 def upstream_text(line: OwnedStatus) -> str:
     """Say what an owner knows of its upstream."""
-    mark = 'ok' if line.state is UpstreamState.CONNECTED else '!!'
+    healthy = line.state is UpstreamState.CONNECTED
+    phase = '' if line.tenure == Tenure.SERVING.value else f', {line.tenure}'
     return (
-        f'{mark} {line.service}/{line.upstream} in {line.domain}: '
-        f'{line.state.value}, {line.busy} of {line.slots} slots busy'
+        f'{"ok" if healthy else "!!"} {line.service}/{line.upstream} in '
+        f'{line.domain}: {line.state.value}{phase}, '
+        f'{line.busy} of {line.slots} slots busy'
     )
 
 
--- a/burdocksill/observe/counters.py
+++ b/burdocksill/observe/counters.py
@@ -1,9 +1,11 @@
 """Counters and histograms of one VM, in the Prometheus text format."""
 
 from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final
 
 import attrs
+import trio
 from hdrh.histogram import HdrHistogram
 from prometheus_client import (
     CollectorRegistry,
@@ -97,6 +99,15 @@
             self.histograms[name] = histogram
         histogram.record_value(max(1, int(seconds * MICROSECONDS)))
 
+    @contextmanager
+    def timed(self, name: str) -> Iterator[None]:
+        """Record how long the block took, whatever became of it."""
+        began = trio.current_time()
+        try:
+            yield
+        finally:
+            self.record(name, trio.current_time() - began)
+
     def render(self) -> str:
         """Write all counters in the Prometheus text format."""
         return generate_latest(self.registry).decode()
