--- a/burdocksill/conf/checks.py
+++ b/burdocksill/conf/checks.py
@@ -1,6 +1,7 @@
 """Check the settings of an entry VM before it is started with them."""
 
 import ipaddress
+from typing import Final
 
 from burdocksill.checks.messages import (
     CheckMessage,
@@ -12,10 +13,18 @@
 from burdocksill.conf.exceptions import SettingsInvalidError
 from burdocksill.conf.settings import Settings, read_settings
 
+PLATFORM: Final = 'platform'
+
 
 async def check_settings(context: CheckContext) -> list[CheckMessage]:
     """Report every wrong setting, and right ones that look like slips."""
-    if not any(context.settings.values()):
+    # Operators' commands share the platform's URL with entry VMs.
+    others = {
+        name: text
+        for name, text in context.settings.items()
+        if name != PLATFORM
+    }
+    if not any(others.values()):
         return [note(1, 'no settings of an entry VM were given')]
     try:
         settings = read_settings(context.settings)
--- a/burdocksill/management/commands/check.py
+++ b/burdocksill/management/commands/check.py
@@ -95,6 +95,6 @@
     if as_json:
         echo_json(ordered)
         return
-    click.echo('\n'.join(map(str, ordered)))
     serious = sum(told.level > Level.INFO for told in ordered)
-    click.echo(f'{serious} problems' if serious else 'no problems')
+    verdict = f'{serious} problems' if serious else 'no problems'
+    click.echo('\n'.join([*map(str, ordered), verdict]))
--- a/burdocksill/management/screen.py
+++ b/burdocksill/management/screen.py
@@ -11,6 +11,7 @@
 from burdocksill.admin.client import FleetStatus
 from burdocksill.admin.messages import NodeStatus, OwnedStatus, UpstreamState
 from burdocksill.ownership.owned import Tenure
+from burdocksill.platform.keys import PREFIX
 
 IN_ORDER: Final = 'none'
 
@@ -87,14 +88,21 @@
     """Show the records in force and where they are not yet."""
     newest = newest_revisions(nodes)
     late = list(lagging(nodes, newest))
-    yield f'DOCUMENTS  {len(newest)} in force, {len(late)} not everywhere'
+    behind = {record.key for record in late}
+    yield f'RECORDS  {len(newest)} in force, {len(late)} not everywhere'
     for record in late:
         yield (
-            f'  !! {record.key} revision {record.revision} not yet on '
+            f'  !! {short(record.key)} revision {record.revision} not yet on '
             f'{", ".join(record.behind)}'
         )
     for key, revision in sorted(newest.items()):
-        yield f'  ok {key} revision {revision}'
+        if key not in behind:
+            yield f'  ok {short(key)} revision {revision}'
+
+
+def short(key: str) -> str:
+    """Return a record's key as operators say it."""
+    return key.removeprefix(PREFIX)
 
 
 def newest_revisions(nodes: Iterable[NodeStatus]) -> dict[str, int]:
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -5,6 +5,7 @@
 from burdocksill import VERSION
 from burdocksill_lab.commands.demo import demo
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
+from burdocksill_lab.commands.up import up
 
 
 @click.group()
@@ -17,3 +18,4 @@
 main.add_command(platform)
 main.add_command(upstream)
 main.add_command(fabric)
+main.add_command(up)
