Name an address that cannot be bound, and stop a VM that still starts

A taken port ended the program with a traceback of nested groups; it now ends with burdocksill.E010, the address and the cure. A VM that waited for the platform did not end on SIGTERM: the signal was only looked at once the VM served.

--- a/burdocksill/admin/app.py
+++ b/burdocksill/admin/app.py
@@ -17,6 +17,7 @@
 from burdocksill.admin.report import node_status
 from burdocksill.entry.node import EntryNode
 from burdocksill.exceptions import BurdocksillError
+from burdocksill.network.exceptions import AddressUnavailableError
 
 Body = dict[str, Any]
 Receive = Callable[[], Awaitable[Body]]
@@ -143,4 +144,11 @@
     config = Config()
     config.bind = [str(node.settings.admin)]
     config.loglevel = 'WARNING'
-    await serve(AdminApp(node=node), config)  # type: ignore[arg-type]
+    try:
+        await serve(AdminApp(node=node), config)  # type: ignore[arg-type]
+    except* OSError as group:
+        cause = group.exceptions[0]
+        raise AddressUnavailableError(
+            message=f'{node.settings.admin} cannot be bound: {cause}',
+            hint='give an address of this VM that no process holds',
+        ) from group
--- a/burdocksill/entry/main.py
+++ b/burdocksill/entry/main.py
@@ -18,6 +18,7 @@
 from burdocksill.network.sockets import SocketNetwork, SystemClock
 from burdocksill.platform.etcd import EtcdPlatform
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTING = 2
 
 logger = logging.getLogger(__name__)
@@ -38,7 +39,29 @@
         click.echo(str(error), err=True)
         sys.exit(EXIT_BAD_SETTING)
     configure_logging(level=settings.log_level, node=settings.name)
-    trio.run(serve, settings)
+    try:
+        trio.run(serve, settings)
+    except* BurdocksillError as group:
+        for failure in flatten(group):
+            click.echo(str(failure), err=True)
+        sys.exit(EXIT_FAILED)
+
+
+def flatten(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """Return the errors inside nested groups, one for each task that failed."""
+    found: list[BaseException] = []
+    for member in group.exceptions:
+        if isinstance(member, BaseExceptionGroup):
+            found.extend(flatten(member))
+        else:
+            found.append(member)
+    return found
+
+
+async def announce(node: EntryNode) -> None:
+    """Write a line once callers are served."""
+    await node.serving.wait()
+    logger.info('serving', extra={'listen': str(node.settings.listen)})
 
 
 async def serve(settings: Settings) -> None:
@@ -54,11 +77,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(serve_admin, node)
             nursery.start_soon(node.run)
-            await node.serving.wait()
-            logger.info('serving', extra={'listen': str(settings.listen)})
-            async for _ in signals:
-                logger.info('stopping')
+            nursery.start_soon(announce, node)
+            await anext(signals)
+            logger.info('stopping')
+            # A VM that still waits for the platform or a peer has nothing to
+            # hand over; without this it would not stop until it had learned.
+            if node.serving.is_set():
                 await node.stop()
-                break
             nursery.cancel_scope.cancel()
     logger.info('stopped')
--- a/burdocksill/network/sockets.py
+++ b/burdocksill/network/sockets.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from burdocksill.network.exceptions import AddressUnavailableError
 from burdocksill.network.protocols import Address, Datagram, DatagramSocket
 
 # One wake-up drains at most this many datagrams, so that a flood on one
@@ -69,7 +70,14 @@
         plain.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             plain.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
-        plain.bind((local.host, local.port))
+        try:
+            plain.bind((local.host, local.port))
+        except OSError as error:
+            plain.close()
+            raise AddressUnavailableError(
+                message=f'{local} cannot be bound: {error.strerror}',
+                hint='give an address of this VM that no process holds',
+            ) from error
         bound = plain.getsockname()
         return PlainDatagramSocket(
             plain=plain,
--- a/tests/conf/settings.feature
+++ b/tests/conf/settings.feature
@@ -37,5 +37,11 @@
     Then it ends with 2
     And its error output names "--name" and "--listen" and "--domain"
 
+  Scenario: An address that another process holds is named
+    Given settings of an entry VM on an address that is taken
+    When burdocksill-entry is started with these settings
+    Then it ends with 1
+    And its error output names "burdocksill.E010" and "127.13.9.1" and "cannot be bound"
+
   Scenario: The reference page lists every setting as the code has it
     Then docs/reference/settings.md has a row for every setting
--- a/tests/steps/conf_settings.py
+++ b/tests/steps/conf_settings.py
@@ -1,5 +1,6 @@
 """Steps about settings."""
 
+import socket
 from pathlib import Path
 
 from behave import given, then, when
@@ -84,6 +85,26 @@
     context.ended = CliRunner().invoke(main, arguments.split())
 
 
+@given('settings of an entry VM on an address that is taken')
+def take_address(context: Context) -> None:
+    """Hold the admin port; a platform is never asked."""
+    holder = socket.socket()
+    holder.bind(('127.13.9.1', 0))
+    holder.listen()
+    context.add_cleanup(holder.close)
+    port = holder.getsockname()[1]
+    context.taken_arguments = (
+        '--name=a --domain=a --listen=127.13.9.1:0 --peer=127.13.9.2:0 '
+        f'--admin=127.13.9.1:{port} --platform=http://127.13.9.3:9'
+    )
+
+
+@when('burdocksill-entry is started with these settings')
+def start_taken(context: Context) -> None:
+    """Run the command in this process; it fails before it serves."""
+    context.ended = CliRunner().invoke(main, context.taken_arguments.split())
+
+
 @then('it ends with {code:d}')
 def check_exit(context: Context, code: int) -> None:
     """Compare the exit code."""
