--- a/burdocksill/conf/catalog.py
+++ b/burdocksill/conf/catalog.py
@@ -94,6 +94,16 @@
         read=readers.parse_addresses,
         default='',
     ),
+    Setting(
+        name='keys',
+        meaning=(
+            "The fleet's key ring as `burdocksill keys export` prints it, to "
+            'start with while the platform is down; a secret, so give it by '
+            'the environment.'
+        ),
+        read=readers.parse_ring,
+        default='',
+    ),
     Setting(
         name='log_level',
         meaning=f'Least level of log lines: {", ".join(readers.LOG_LEVELS)}.',
--- a/burdocksill/conf/exceptions.py
+++ b/burdocksill/conf/exceptions.py
@@ -45,6 +45,12 @@
     code = 'burdocksill.E007'
 
 
+class SettingKeysError(SettingInvalidError):
+    """Say that a setting is no key ring, without showing it."""
+
+    code = 'burdocksill.E011'
+
+
 class SettingsClashError(SettingInvalidError):
     """Say that two settings cannot both hold."""
 
--- a/burdocksill/conf/readers.py
+++ b/burdocksill/conf/readers.py
@@ -5,13 +5,18 @@
 from typing import Final
 from urllib.parse import urlsplit
 
+import msgspec
+
 from burdocksill.conf.exceptions import (
     SettingAddressError,
     SettingChoiceError,
+    SettingKeysError,
     SettingNameError,
     SettingNumberError,
     SettingUrlError,
 )
+from burdocksill.flows.exceptions import KeysMissingError
+from burdocksill.flows.keys import KeyRing, decode_ring
 from burdocksill.network.protocols import Address
 
 LARGEST_PORT: Final = 65535
@@ -68,6 +73,24 @@
     return text.rstrip('/')
 
 
+def parse_ring(setting: str, text: str) -> KeyRing | None:
+    """Read a key ring; an error never shows what was given."""
+    if not text:
+        return None
+    try:
+        ring = decode_ring(text.encode())
+        # A key that cannot be read would be noticed only when it signs.
+        usable = bool(ring.signing.secret_bytes)
+    except (msgspec.MsgspecError, ValueError, KeysMissingError):
+        usable = False
+    if usable:
+        return ring
+    raise SettingKeysError(
+        message=f'{setting} is no key ring',
+        hint='give what `burdocksill keys export` prints, all on one line',
+    )
+
+
 def parse_level(setting: str, text: str) -> str:
     """Read a level of the logs."""
     if text.upper() not in LOG_LEVELS:
--- a/burdocksill/conf/settings.py
+++ b/burdocksill/conf/settings.py
@@ -11,6 +11,7 @@
     SettingsInvalidError,
 )
 from burdocksill.conf.readers import parse_address, require_name
+from burdocksill.flows.keys import KeyRing
 from burdocksill.membership.protocols import Member
 from burdocksill.network.protocols import Address
 
@@ -30,6 +31,7 @@
     admin: Address
     platform: str
     seeds: tuple[Address, ...] = ()
+    keys: KeyRing | None = attrs.field(default=None, repr=False)
     log_level: str = DEFAULT_LOG_LEVEL
     trace_ratio: float = 0
     seed: int | None = None
--- a/burdocksill/entry/main.py
+++ b/burdocksill/entry/main.py
@@ -74,6 +74,8 @@
         rng=Random(settings.seed),
         seeds=settings.seeds,
     )
+    if settings.keys is not None:
+        node.fleet.learner.use_keys(settings.keys)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(serve_admin, node)
--- a/burdocksill/management/commands/document.py
+++ b/burdocksill/management/commands/document.py
@@ -9,7 +9,11 @@
 import click
 
 from burdocksill.checks.messages import Level
-from burdocksill.documents.acceptance import Accepted, put_document
+from burdocksill.documents.acceptance import (
+    Accepted,
+    delete_document,
+    put_document,
+)
 from burdocksill.documents.checks import check_file, read_text
 from burdocksill.documents.schema import parse_document
 from burdocksill.management.commands.check import report
@@ -94,19 +98,34 @@
             parsed,
             expected_revision=revision_of(text) if expect is None else expect,
         )
-        if not wait_seconds:
-            return PutOutcome(accepted=accepted)
-        seen = await wait_in_force(
+        return await follow_up(
             target,
-            document_key(parsed.service),
-            accepted.revision,
-            seconds=wait_seconds,
+            parsed.service,
+            accepted,
+            wait_seconds,
         )
-        return PutOutcome(accepted=accepted, in_force=seen)
 
     finish(run_command(target, write), as_json=as_json)
 
 
+async def follow_up(
+    target: Target,
+    service: str,
+    accepted: Accepted,
+    wait_seconds: float,
+) -> PutOutcome:
+    """Wait for an edit to be in force everywhere, if that was asked for."""
+    if not wait_seconds:
+        return PutOutcome(accepted=accepted)
+    seen = await wait_in_force(
+        target,
+        document_key(service),
+        accepted.revision,
+        seconds=wait_seconds,
+    )
+    return PutOutcome(accepted=accepted, in_force=seen)
+
+
 def finish(outcome: PutOutcome, *, as_json: bool) -> None:
     """Print what became of an edit and end with its exit code."""
     seen = outcome.in_force
@@ -134,6 +153,37 @@
     return int(found.group(1)) if found else None
 
 
+@document.command()
+@click.argument('service')
+@click.option('--expect', type=int, help='Revision that you looked at.')
+@wait_option
+@json_option
+@pass_target
+def delete(
+    target: Target,
+    service: str,
+    expect: int | None,
+    wait_seconds: float,
+    *,
+    as_json: bool,
+) -> None:
+    """Take a service out of force; its record stays and says so.
+
+    \b
+    Exit codes are those of `burdocksill document put`.
+    """
+
+    async def write(platform: Platform) -> PutOutcome:
+        accepted = await delete_document(
+            platform,
+            service,
+            expected_revision=expect,
+        )
+        return await follow_up(target, service, accepted, wait_seconds)
+
+    finish(run_command(target, write), as_json=as_json)
+
+
 @document.command()
 @click.argument('service')
 @json_option
--- a/burdocksill/management/commands/keys.py
+++ b/burdocksill/management/commands/keys.py
@@ -60,22 +60,36 @@
     click.echo(f'key {ring.current} signs, {len(ring.keys)} are accepted')
 
 
+async def read_ring(platform: Platform) -> KeyRing:
+    """Return the fleet's keys; raise KeysMissingError."""
+    stored = await platform.read(FLEET_KEYS)
+    if stored is None:
+        raise KeysMissingError(
+            message='the platform holds no fleet keys',
+            hint='run: burdocksill keys rotate',
+        )
+    return decode_ring(stored.value)
+
+
+@keys.command('export')
+@pass_target
+def export_keys(target: Target) -> None:
+    """Print the keys WITH their secrets, for the setting --keys.
+
+    \b
+    A VM that has them can start while the platform is down. Keep the output
+    where the settings of VMs are kept, and export again after a rotation.
+    """
+    ring = run_command(target, read_ring)
+    click.echo(encode_ring(ring).decode())
+
+
 @keys.command('list')
 @json_option
 @pass_target
 def list_keys(target: Target, *, as_json: bool) -> None:
     """List the keys that are accepted, without their secrets."""
-
-    async def read(platform: Platform) -> KeyRing:
-        stored = await platform.read(FLEET_KEYS)
-        if stored is None:
-            raise KeysMissingError(
-                message='the platform holds no fleet keys',
-                hint='run: burdocksill keys rotate',
-            )
-        return decode_ring(stored.value)
-
-    ring = run_command(target, read)
+    ring = run_command(target, read_ring)
     lines = [
         KeyLine(key_id=key.key_id, signs=key.key_id == ring.current)
         for key in ring.keys
--- a/burdocksill/management/stored.py
+++ b/burdocksill/management/stored.py
@@ -51,10 +51,13 @@
             message=f'there is no document of {service!r}',
             hint='put one with: burdocksill document put FILE',
         )
-    return StoredDocument(
-        revision=stored.revision,
-        document=decode_document(stored.value),
-    )
+    document = decode_document(stored.value)
+    if document.deleted:
+        raise DocumentMissingError(
+            message=f'{service!r} was deleted at revision {stored.revision}',
+            hint='its earlier ones: burdocksill document history SERVICE',
+        )
+    return StoredDocument(revision=stored.revision, document=document)
 
 
 async def document_history(platform: Platform, service: str) -> DocumentHistory:
--- a/tests/conf/settings.feature
+++ b/tests/conf/settings.feature
@@ -18,6 +18,15 @@
       | burdocksill.E007 | --trace-ratio |
     And each settings error has a cure
 
+  Scenario: A key ring that cannot be read is never shown
+    Given settings of an entry VM
+    And the setting "keys" is "c2VjcmV0"
+    When the settings are read
+    Then the settings errors are
+      | code             | flag   |
+      | burdocksill.E011 | --keys |
+    And no settings error shows "c2VjcmV0"
+
   Scenario: Two sockets on one address are refused
     Given settings of an entry VM
     And the setting "peer" is "10.0.0.1:5683"
--- a/tests/management/commands.feature
+++ b/tests/management/commands.feature
@@ -48,6 +48,13 @@
     Then the command ends with 0 and prints "key 2 signs"
     And no secret of the fleet is printed
 
+  Scenario: A deleted document stays as a record
+    When the command "document put FILE" runs on the document with 2 slots
+    And the command "document delete kiosk-ledger" runs
+    Then the command ends with 0 and prints "accepted at revision"
+    When the command "document get kiosk-ledger" runs
+    Then the command ends with 1 and prints "was deleted at revision"
+
   Scenario: Waiting names the VMs that do not answer
     Given the commands know a VM "cz-a-entry-1" that does not answer
     When the command "document put --wait 0.1 FILE" runs on the document with 2 slots
--- a/tests/steps/conf_settings.py
+++ b/tests/steps/conf_settings.py
@@ -67,6 +67,13 @@
     assert all(error.hint for error in context.settings_errors)
 
 
+@then('no settings error shows "{secret}"')
+def check_hidden(context: Context, secret: str) -> None:
+    """Look for the value in messages and cures."""
+    for error in context.settings_errors:
+        assert secret not in str(error), str(error)
+
+
 @then('the settings are valid')
 def check_valid(context: Context) -> None:
     """Look for errors."""
