--- a/burdocksill/admin/messages.py
+++ b/burdocksill/admin/messages.py
@@ -91,6 +91,8 @@
     serving: bool
     quorate: bool = True
     admin_port: int = 0
+    # False when this VM asked the platform last and got no answer.
+    platform_answers: bool = True
     key_id: int | None = None
     members: tuple[MemberStatus, ...] = ()
     owned: tuple[OwnedStatus, ...] = ()
--- a/burdocksill/management/screen.py
+++ b/burdocksill/management/screen.py
@@ -79,6 +79,8 @@
     parts = [f'owns {len(node.owned)}', f'sees {seen} VMs']
     if not node.quorate:
         parts.append('hears no majority of its domain')
+    if not node.platform_answers:
+        parts.append('gets no answer from the platform')
     if node.key_id is None:
         parts.append('has no fleet keys')
     return ', '.join(parts)
--- a/burdocksill/upstreams/client.py
+++ b/burdocksill/upstreams/client.py
@@ -11,6 +11,7 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.network.protocols import Network
 from burdocksill.observe.counters import Counters
+from burdocksill.observe.lines import StateLine
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.upstreams.connection import UpstreamConnection
@@ -77,6 +78,7 @@
     connection: UpstreamConnection | None = None
     identity: Identity | None = None
     state: HealthState = HealthState.READY
+    line: StateLine = attrs.field(factory=lambda: StateLine(logger=logger))
 
     @property
     def connected(self) -> bool:
@@ -102,12 +104,11 @@
                     wait = await self.hold_connection(nursery)
                 except (OSError, BurdocksillError, trio.TooSlowError) as error:
                     self.count('connections_failed')
-                    logger.warning(
+                    self.line.enter(
                         'upstream unreachable',
-                        extra={
-                            'upstream': self.upstream.name,
-                            'cause': str(error),
-                        },
+                        level=logging.WARNING,
+                        upstream=self.upstream.name,
+                        cause=str(error),
                     )
                 await trio.sleep(wait)
 
@@ -131,6 +132,7 @@
             connection.close()
             raise
         self.connection = connection
+        self.line.enter('upstream connected', upstream=self.upstream.name)
         self.count('connections_opened')
         await connection.retired.wait()
         self.connection = None
--- /dev/null
+++ b/tests/steps/observe_lines.py
@@ -0,0 +1,63 @@
+"""Steps about log lines."""
+
+import attrs
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from burdocksill.documents.models import ServiceDocument
+from burdocksill.observe.lines import StateLine
+from burdocksill_lab.fakes.deterministic import run_seeded
+from burdocksill_lab.fakes.world import open_world
+
+OUTAGE_SECONDS = 600
+
+
+@attrs.define(kw_only=True)
+class KeptLines:
+    """Stand for a logger and keep what it is told."""
+
+    kept: list[str] = attrs.field(factory=list)
+
+    def log(self, level: int, text: str, *, extra: dict[str, str]) -> None:
+        """Keep one line."""
+        assert extra['upstream'] == 'ledger-1'
+        self.kept.append(text)
+
+
+@given('a logged upstream that refuses connections')
+def plan(context: Context) -> None:
+    """Keep the lines of its client."""
+    context.lines = KeptLines()
+
+
+@when('ten minutes pass and it accepts them again')
+def run(context: Context) -> None:
+    """Run the client of an upstream alone."""
+
+    async def story() -> None:
+        async with open_world(context.seed) as world:
+            line = world.start_upstream('kiosk-ledger', 'ledger-1', 'cz-a')
+            listener = world.network.listeners.pop(line.address)
+            await world.put_document(
+                ServiceDocument(
+                    service='kiosk-ledger',
+                    team='vratka',
+                    upstreams=(line,),
+                ),
+            )
+            running = await world.start_node('cz-a-entry-1', 'cz-a')
+            await trio.sleep(1)
+            owned = next(iter(running.node.owners.owned.values()))
+            owned.client.line = StateLine(logger=context.lines)
+            await trio.sleep(OUTAGE_SECONDS)
+            world.network.listeners[line.address] = listener
+            await trio.sleep(10)
+
+    run_seeded(context.seed, story)
+
+
+@then('the log has the lines "{first}" and "{second}"')
+def check_lines(context: Context, first: str, second: str) -> None:
+    """Compare all lines."""
+    assert context.lines.kept == [first, second], context.lines.kept
