Let burdocksill-call run a session of several requests

A script that cannot be read sends nothing. The program ends with 2, 3, 4 or 5 by the first failure.

--- a/burdocksill/admin/report.py
+++ b/burdocksill/admin/report.py
@@ -44,6 +44,8 @@
         records=tuple(
             RecordStatus(key=record.key, revision=record.revision)
             for record in node.store.records.values()
+            # Made by the watchers and never put by anybody.
+            if record.key != keys.DEPARTURES
         ),
         services=service_lines(node.store),
         domains_out=domain_lines(node.store),
--- /dev/null
+++ b/burdocksill/callers/display.py
@@ -0,0 +1,78 @@
+"""Show what became of a call, for people or for scripts."""
+
+import json
+
+import attrs
+import click
+
+from burdocksill.callers.exceptions import CallFailedError
+from burdocksill.callers.script import Call
+from burdocksill.flows.cookie import FLOW_ID_PLACE
+from burdocksill.requests.messages import Answer
+
+
+@attrs.frozen(kw_only=True)
+class CallReport:
+    """Hold what became of one call; scripts rely on these names."""
+
+    call: str
+    code: str
+    verdict: str
+    reason: str = ''
+    payload: str = ''
+    retry_after_seconds: float = 0
+    hops: tuple[str, ...] = ()
+    # In hex, as `burdocksill explain` takes them.
+    cookie: str = ''
+    flow: str = ''
+
+
+def answered(call: Call, answer: Answer, cookie: bytes) -> CallReport:
+    """Report a whole answer."""
+    return CallReport(
+        call=call.text,
+        code=answer.code,
+        verdict=answer.verdict.value,
+        payload=answer.payload.decode(errors='replace'),
+        hops=answer.hops,
+        cookie=cookie.hex(),
+        flow=cookie[FLOW_ID_PLACE].hex(),
+    )
+
+
+def failed(call: Call, error: CallFailedError, cookie: bytes) -> CallReport:
+    """Report why a call failed and whether it may have run."""
+    return CallReport(
+        call=call.text,
+        code=error.code,
+        verdict=error.verdict.value,
+        reason=error.reason.value,
+        payload=error.message,
+        retry_after_seconds=error.retry_after_seconds,
+        hops=error.hops,
+        cookie=cookie.hex(),
+        flow=cookie[FLOW_ID_PLACE].hex(),
+    )
+
+
+def show(report: CallReport, *, as_json: bool) -> None:
+    """Print a report: one line of JSON, or a few for people."""
+    if as_json:
+        click.echo(json.dumps(attrs.asdict(report)))
+    elif report.reason:
+        show_failure(report)
+    else:
+        click.echo(f'{report.code} {report.payload}')
+        click.echo(f'hops: {" > ".join(report.hops)}')
+
+
+def show_failure(report: CallReport) -> None:
+    """Print a failure, its verdict and when to come back."""
+    click.echo(
+        f'{report.code}: {report.call}: {report.reason} ({report.verdict})',
+        err=True,
+    )
+    if report.retry_after_seconds:
+        click.echo(f'come back in {report.retry_after_seconds} s', err=True)
+    if report.hops:
+        click.echo(f'hops: {" > ".join(report.hops)}', err=True)
--- a/burdocksill/callers/exceptions.py
+++ b/burdocksill/callers/exceptions.py
@@ -20,3 +20,9 @@
     hint: str = ''
     retry_after_seconds: float = 0
     hops: tuple[str, ...] = ()
+
+
+class ScriptInvalidError(BurdocksillError):
+    """Say which call of a command line or script cannot be read."""
+
+    code = 'burdocksill.E702'
--- a/burdocksill/callers/main.py
+++ b/burdocksill/callers/main.py
@@ -1,144 +1,136 @@
-"""The program burdocksill-call: one request and what became of it."""
+"""The program burdocksill-call: a session of requests and what came of them."""
 
-import json
 import sys
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Final
+from typing import Final, TextIO
 
 import attrs
 import click
 import trio
 
 from burdocksill import VERSION
+from burdocksill.callers.display import answered, failed, show
 from burdocksill.callers.exceptions import CallFailedError
+from burdocksill.callers.script import Call, make_call, read_script
 from burdocksill.callers.session import (
     DEFAULT_TIMEOUT_SECONDS,
+    Session,
     open_session,
 )
-from burdocksill.conf.settings import parse_address
+from burdocksill.conf.readers import parse_address, require_name
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.network.protocols import Address
 from burdocksill.network.sockets import SocketNetwork
-from burdocksill.requests.messages import Answer
 from burdocksill.requests.verdict import Verdict
 
-EXIT_NOT_RUN = 3
-EXIT_MAY_HAVE_RUN = 4
-EXIT_RAN = 5
+EXIT_DONE: Final = 0
+EXIT_USAGE: Final = 2
 EXIT_CODES: Final[Mapping[Verdict, int]] = MappingProxyType(
     {
-        Verdict.NOT_RUN: EXIT_NOT_RUN,
-        Verdict.MAY_HAVE_RUN: EXIT_MAY_HAVE_RUN,
-        Verdict.RAN: EXIT_RAN,
+        Verdict.NOT_RUN: 3,
+        Verdict.MAY_HAVE_RUN: 4,
+        Verdict.RAN: 5,
     }
 )
 
 
 @attrs.frozen(kw_only=True)
-class Call:
-    """Hold one call as the command line gives it."""
+class Plan:
+    """Hold what the command line asks for."""
 
     service: str
     server: Address
-    method: str
-    path: tuple[str, ...]
-    payload: bytes
+    calls: tuple[Call, ...]
     timeout_seconds: float
+    as_json: bool
 
 
 @click.command(context_settings={'auto_envvar_prefix': 'BURDOCKSILL_CALL'})
-@click.option('--server', required=True, help='Address of the service.')
-@click.option('--service', required=True, help='Name of the service.')
+@click.option('--server', default='', help='Address of the service, host:port.')
+@click.option('--service', default='', help='Name of the service.')
 @click.option('--method', default='GET', show_default=True)
-@click.option('--payload', default='', help='Body of the request.')
+@click.option('--payload', default='', help='Body of each request.')
+@click.option(
+    '--script',
+    type=click.File(),
+    help='Send its lines too, each METHOD PATH [PAYLOAD]; - is standard input.',
+)
 @click.option(
     '--timeout',
     type=float,
     default=DEFAULT_TIMEOUT_SECONDS,
     show_default=True,
-    help='Seconds to wait for the answer.',
+    help='Seconds to wait for each answer.',
 )
-@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
-@click.argument('path')
+@click.option('--json', 'as_json', is_flag=True, help='Print a JSON line each.')
+@click.argument('paths', nargs=-1, metavar='[PATH]...')
 @click.version_option(VERSION)
 def main(
     server: str,
     service: str,
     method: str,
     payload: str,
+    script: TextIO | None,
     timeout: float,
+    paths: tuple[str, ...],
+    *,
     as_json: bool,
-    path: str,
 ) -> None:
-    """Send one request to a service and show its verdict and hops."""
+    """Send requests in one session and show verdicts and hops.
+
+    \b
+    The session ends with the first request that fails. Exit codes: 0 all
+    answers are whole, 2 wrong usage, 3 not run, 4 may have run, 5 ran but
+    its answer cannot be delivered.
+    """
     try:
-        call = Call(
-            service=service,
+        plan = Plan(
+            service=require_name('--service', service),
             server=parse_address('--server', server),
-            method=method.upper(),
-            path=tuple(part for part in path.split('/') if part),
-            payload=payload.encode(),
+            calls=(
+                *(make_call(method, path, payload) for path in paths),
+                *read_script(script or ()),
+            ),
             timeout_seconds=timeout,
+            as_json=as_json,
         )
-        answer = trio.run(send, call)
-    except CallFailedError as error:
-        show_failure(error, as_json=as_json)
-        sys.exit(EXIT_CODES[error.verdict])
     except BurdocksillError as error:
         click.echo(str(error), err=True)
-        sys.exit(2)
-    show(answer, as_json=as_json)
+        sys.exit(EXIT_USAGE)
+    if not plan.calls:
+        click.echo('nothing to send: give a PATH or --script', err=True)
+        sys.exit(EXIT_USAGE)
+    sys.exit(trio.run(send_all, plan))
 
 
-async def send(call: Call) -> Answer:
-    """Send one call in a session of its own."""
+async def send_all(plan: Plan) -> int:
+    """Send the calls in order and return the exit code."""
     async with open_session(
-        service=call.service,
-        server=call.server,
+        service=plan.service,
+        server=plan.server,
         network=SocketNetwork(),
         wants_hops=True,
     ) as session:
-        return await session.request(
+        for call in plan.calls:
+            code = await send(session, call, plan)
+            if code != EXIT_DONE:
+                return code
+    return EXIT_DONE
+
+
+async def send(session: Session, call: Call, plan: Plan) -> int:
+    """Send one call, show what came of it and return its exit code."""
+    try:
+        answer = await session.request(
             call.method,
             call.path,
             payload=call.payload,
-            timeout_seconds=call.timeout_seconds,
+            timeout_seconds=plan.timeout_seconds,
         )
-
-
-def show(answer: Answer, *, as_json: bool) -> None:
-    """Print an answer."""
-    if as_json:
-        click.echo(
-            json.dumps(
-                {
-                    'code': answer.code,
-                    'verdict': answer.verdict.value,
-                    'payload': answer.payload.decode(errors='replace'),
-                    'hops': answer.hops,
-                }
-            ),
-        )
-        return
-    click.echo(f'{answer.code} {answer.payload.decode(errors="replace")}')
-    click.echo(f'hops: {" > ".join(answer.hops)}')
-
-
-def show_failure(error: CallFailedError, *, as_json: bool) -> None:
-    """Print why a call failed and whether its request may have run."""
-    if as_json:
-        click.echo(
-            json.dumps(
-                {
-                    'code': error.code,
-                    'verdict': error.verdict.value,
-                    'reason': error.reason.value,
-                    'retry_after_seconds': error.retry_after_seconds,
-                    'hops': error.hops,
-                }
-            ),
-        )
-        return
-    click.echo(f'{error}: {error.verdict.value}', err=True)
-    click.echo(f'come back in {error.retry_after_seconds} s', err=True)
+    except CallFailedError as error:
+        report = failed(call, error, session.cookie)
+        show(report, as_json=plan.as_json)
+        return EXIT_CODES[error.verdict]
+    show(answered(call, answer, session.cookie), as_json=plan.as_json)
+    return EXIT_DONE
