--- /dev/null
+++ b/tests/docs/metrics.feature
@@ -0,0 +1,9 @@
+Feature: Pages that list what the code has
+  An operator sees a counter rise, or a caller a reason, that no page
+  explains. One that is added without a row on its page is found here.
+
+  Scenario: Every counter of the code is on the page
+    Then docs/reference/metrics.md names every counter of the code
+
+  Scenario: Every reason of a failed request is on the page
+    Then docs/topics/verdicts.md names every reason of the code
--- /dev/null
+++ b/tests/steps/docs_metrics.py
@@ -0,0 +1,50 @@
+"""Steps about pages that list what the code has."""
+
+import re
+from pathlib import Path
+
+from behave import then
+from behave.runner import Context
+
+from burdocksill.requests.verdict import Reason
+
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / 'docs/reference/metrics.md'
+VERDICTS = ROOT / 'docs/topics/verdicts.md'
+COUNTED = re.compile(
+    r"""(?:counters\.add|self\.count|counters\.timed)\(\s*'(\w+)'"""
+)
+
+
+@then('docs/reference/metrics.md names every counter of the code')
+def check_counters(context: Context) -> None:
+    """Look for each name that the code adds to."""
+    sources = (ROOT / 'burdocksill').rglob('*.py')
+    counted = {
+        name
+        for source in sources
+        for name in COUNTED.findall(source.read_text())
+    }
+    assert len(counted) > 20, counted
+    page = PAGE.read_text()
+    unnamed = [
+        name
+        for name in sorted(counted)
+        if f'`{name}`' not in page and f'`{name}_seconds`' not in page
+    ]
+    assert not unnamed, unnamed
+
+
+@then('docs/topics/verdicts.md names every reason of the code')
+def check_reasons(context: Context) -> None:
+    """Look for each reason in the first column of the table."""
+    rows = [
+        line.split('|')[1]
+        for line in VERDICTS.read_text().splitlines()
+        if line.startswith('| `')
+    ]
+    named = ''.join(rows)
+    unnamed = [
+        reason.value for reason in Reason if f'`{reason.value}`' not in named
+    ]
+    assert not unnamed, unnamed
