--- a/burdocksill/checks/registry.py
+++ b/burdocksill/checks/registry.py
@@ -1,11 +1,12 @@
 """Run the checks that the slices bring, in a fixed order."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Protocol
 
 import attrs
 
+from burdocksill.admin.client import FleetStatus
 from burdocksill.checks.messages import CheckMessage
 from burdocksill.platform.protocols import Platform
 
@@ -17,6 +18,7 @@
     settings: Mapping[str, str | None]
     documents: tuple[Path, ...] = ()
     platform: Platform | None = None
+    ask_fleet: Callable[[], Awaitable[FleetStatus]] | None = None
 
 
 class Check(Protocol):
--- a/burdocksill/management/commands/check.py
+++ b/burdocksill/management/commands/check.py
@@ -59,17 +59,19 @@
     as_json: bool,
     **settings: str | None,
 ) -> None:
-    """Check settings of an entry VM, documents and the platform.
+    """Check settings of an entry VM, documents, the platform and the fleet.
 
     \b
     Give the settings as burdocksill-entry gets them, by flags or environment.
     Exit codes: 0 nothing at or above the fail level, 1 something.
     """
     platform = settings.get('platform') or target.platform_url
+    asked = attrs.evolve(target, platform_url=platform)
     context = CheckContext(
         settings=settings,
         documents=documents,
-        platform=reachable(attrs.evolve(target, platform_url=platform)),
+        platform=reachable(asked),
+        ask_fleet=asked.fleet if platform or target.entries else None,
     )
 
     async def run() -> list[CheckMessage]:
--- a/tests/checks/checks.feature
+++ b/tests/checks/checks.feature
@@ -32,6 +32,17 @@
       | burdocksill.W102 | WARNING |
       | burdocksill.W103 | WARNING |
 
+  Scenario: VMs that do not answer or cannot serve are warnings
+    Given settings of an entry VM
+    And the system checks get an answer of a fleet in trouble
+    When the fleet's system checks run
+    Then the system checks report
+      | id               | level   |
+      | burdocksill.W301 | WARNING |
+      | burdocksill.W302 | WARNING |
+      | burdocksill.W303 | WARNING |
+      | burdocksill.W304 | WARNING |
+
   Scenario: The command's exit code follows the level
     Then burdocksill check on a wrong setting ends with 1
     And burdocksill check on a slip ends with 0
--- a/tests/steps/checks_checks.py
+++ b/tests/steps/checks_checks.py
@@ -3,12 +3,17 @@
 import tempfile
 from pathlib import Path
 
+import attrs
 import trio
 from behave import given, then, when
 from behave.runner import Context
 from click.testing import CliRunner
 
+from burdocksill import VERSION
+from burdocksill.admin.client import FleetStatus
+from burdocksill.admin.messages import NodeStatus
 from burdocksill.checks.catalog import CHECKS
+from burdocksill.checks.messages import CheckMessage
 from burdocksill.checks.registry import CheckContext, run_checks
 from burdocksill.management.main import main
 from burdocksill.platform.exceptions import PlatformUnavailableError
@@ -76,6 +81,43 @@
         )
 
 
+@given('the system checks get an answer of a fleet in trouble')
+def give_fleet(context: Context) -> None:
+    """Answer with one VM of each kind of trouble."""
+
+    async def ask() -> FleetStatus:
+        started = NodeStatus(
+            name='a', domain='cz-a', version=VERSION, serving=False
+        )
+        return FleetStatus(
+            nodes=(
+                started,
+                attrs.evolve(started, serving=True, quorate=False),
+                attrs.evolve(started, serving=True, version='0.0.9'),
+            ),
+            silent=('d',),
+        )
+
+    context.ask_fleet = ask
+
+
+@when("the fleet's system checks run")
+def run_fleet(context: Context) -> None:
+    """Run the checks of the fleet alone."""
+
+    async def call() -> list[CheckMessage]:
+        return await run_checks(
+            CHECKS,
+            CheckContext(
+                settings=context.given_settings,
+                ask_fleet=context.ask_fleet,
+            ),
+            tags=('fleet',),
+        )
+
+    context.check_messages = trio.run(call)
+
+
 @then('the system checks report')
 def check_messages(context: Context) -> None:
     """Compare ids and levels in order."""
