--- a/burdocksill/admin/app.py
+++ b/burdocksill/admin/app.py
@@ -104,7 +104,7 @@
     fields = parse_qs(query)
     return ExplainQuery(
         flow=first(fields, 'flow'),
-        token=first(fields, 'token'),
+        tokens=tuple(fields.get('token', ())),
         cookie=first(fields, 'cookie'),
     )
 
--- a/burdocksill/admin/client.py
+++ b/burdocksill/admin/client.py
@@ -88,10 +88,10 @@
         query: ExplainQuery,
     ) -> Explanation:
         """Return what a VM remembers of a flow or a request."""
-        fields = {
+        fields: dict[str, str | list[str]] = {
             'flow': query.flow,
-            'token': query.token,
             'cookie': query.cookie,
+            'token': list(query.tokens),
         }
         return await self.get(address, '/explain', fields, Explanation)
 
@@ -99,7 +99,7 @@
         self,
         address: Address,
         path: str,
-        fields: dict[str, str],
+        fields: Mapping[str, str | list[str]],
         kind: type[Told],
     ) -> Told:
         """Return one page as its typed message."""
--- a/burdocksill/admin/explain.py
+++ b/burdocksill/admin/explain.py
@@ -15,12 +15,12 @@
     """Name a flow or a request, by what the operator has of it in hex."""
 
     flow: str = ''
-    token: str = ''
     cookie: str = ''
+    tokens: tuple[str, ...] = ()
 
     def require(self) -> None:
         """Refuse a query that names nothing, or not in hex."""
-        for text in (self.flow, self.token, self.cookie):
+        for text in (self.flow, self.cookie, *self.tokens):
             try:
                 bytes.fromhex(text)
             except ValueError as error:
@@ -28,7 +28,7 @@
                     message=f'{text!r} is not hexadecimal',
                     hint='write the bytes in hex, as burdocksill-call does',
                 ) from error
-        if not (self.flow or self.token or self.cookie):
+        if not (self.flow or self.cookie or any(self.tokens)):
             raise QueryInvalidError(
                 message='nothing to explain was named',
                 hint='give a flow id, a token or a cookie',
@@ -49,10 +49,9 @@
     opened = open_cookie(node, bytes.fromhex(query.cookie))
     flow = opened.cookie.flow_id if opened else bytes.fromhex(query.flow)
     decisions: list[Decision] = []
-    token = bytes.fromhex(query.token)
-    if node.serving.is_set() and (token or flow):
-        log = node.router.decisions
-        decisions = log.of_token(token) if token else log.of_flow(flow)
+    if node.serving.is_set():
+        tokens = frozenset(map(bytes.fromhex, query.tokens))
+        decisions = node.router.decisions.find(flow_id=flow, tokens=tokens)
     name = node.settings.name
     return Explanation(
         node=name,
--- a/burdocksill/management/commands/explain.py
+++ b/burdocksill/management/commands/explain.py
@@ -2,12 +2,13 @@
 
 import sys
 from datetime import UTC, datetime
+from typing import Final
 
 import attrs
 import click
 
 from burdocksill.admin.explain import ExplainQuery
-from burdocksill.admin.messages import CookieLine, DecisionLine
+from burdocksill.admin.messages import CookieLine, DecisionLine, Explanation
 from burdocksill.management.exits import Exit
 from burdocksill.management.running import (
     echo_json,
@@ -17,6 +18,9 @@
 )
 from burdocksill.management.target import Target
 
+# The requests of one flow that one explanation goes into, the latest ones.
+TOKENS_AT_ONCE: Final = 64
+
 
 @attrs.frozen(kw_only=True)
 class FleetExplanation:
@@ -47,7 +51,11 @@
     Each VM remembers its latest decisions in memory; all that answer are
     asked. Exit codes: 0 found, 1 nothing is remembered, 5 no VM answered.
     """
-    query = ExplainQuery(flow=flow, token=token, cookie=cookie)
+    query = ExplainQuery(
+        flow=flow,
+        cookie=cookie,
+        tokens=(token,) if token else (),
+    )
     told = run_async(lambda: ask(target, query))
     if as_json:
         echo_json(told)
@@ -58,11 +66,21 @@
 
 
 async def ask(target: Target, query: ExplainQuery) -> FleetExplanation:
-    """Ask every VM that can be found and put the answers in order."""
+    """Ask every VM that can be found and put the answers in order.
+
+    The VM that placed a flow did not know its id yet, so a second round asks
+    for the tokens that the first has found.
+    """
     query.require()
     fleet = await target.fleet()
     told = await target.admin.explain_all(fleet.addresses, query)
     cookies = [part.cookie for part in told if part.cookie]
+    tokens = latest_tokens(told)
+    if tokens:
+        told = await target.admin.explain_all(
+            fleet.addresses,
+            ExplainQuery(tokens=tokens),
+        )
     decisions = [line for part in told for line in part.decisions]
     return FleetExplanation(
         cookie=cookies[0] if cookies else None,
@@ -71,6 +89,14 @@
     )
 
 
+def latest_tokens(told: tuple[Explanation, ...]) -> tuple[str, ...]:
+    """Return the tokens of the latest requests, as many as one call takes."""
+    lines = [line for part in told for line in part.decisions]
+    lines.sort(key=lambda line: line.at)
+    tokens = dict.fromkeys(line.token for line in reversed(lines))
+    return tuple(tokens)[:TOKENS_AT_ONCE]
+
+
 def show(told: FleetExplanation) -> None:
     """Print an explanation, one decision a line."""
     if told.cookie is not None:
--- a/burdocksill/observe/counters.py
+++ b/burdocksill/observe/counters.py
@@ -11,6 +11,7 @@
     CollectorRegistry,
     Counter,
     Metric,
+    disable_created_metrics,
     generate_latest,
 )
 from prometheus_client.registry import Collector
@@ -23,6 +24,9 @@
 PERCENT: Final = 100
 PREFIX: Final = 'burdocksill_'
 
+# A second line for each counter with its time of birth helps nobody here.
+disable_created_metrics()  # type: ignore[no-untyped-call]
+
 
 def make_histogram() -> HdrHistogram:
     """Make a histogram of microseconds up to an hour."""
--- a/burdocksill/observe/decisions.py
+++ b/burdocksill/observe/decisions.py
@@ -102,18 +102,23 @@
             ),
         )
 
-    def of_token(self, token: bytes) -> list[Decision]:
-        """Return the decisions on one request."""
-        return self.select(lambda kept: kept.token == token)
-
-    def of_flow(self, flow_id: bytes) -> list[Decision]:
-        """Return the decisions on every request of one flow.
+    def find(
+        self,
+        *,
+        flow_id: bytes,
+        tokens: frozenset[bytes],
+    ) -> list[Decision]:
+        """Return the decisions on some requests, or on all of a flow.
 
         An answer is recorded under its request's token alone, so the tokens
         of the flow are found first.
         """
-        tokens = {kept.token for kept in self.ring if kept.flow_id == flow_id}
-        return self.select(lambda kept: kept.token in tokens)
+        wanted = set(tokens)
+        if flow_id:
+            wanted |= {
+                kept.token for kept in self.ring if kept.flow_id == flow_id
+            }
+        return self.select(lambda kept: kept.token in wanted)
 
     def refused_since(self, earliest: float) -> Iterable[Decision]:
         """Return answers that say why a request failed."""
--- a/tests/admin/status.feature
+++ b/tests/admin/status.feature
@@ -23,6 +23,7 @@
     And its cookie is explained
     Then the explanation names upstream "ledger-1" and owner "cz-a-entry-1"
     And the explanation tells of 3 answers that ran
+    And the explanation begins with where the flow was placed
 
   Scenario: A refused request is explained and counted with its reason
     Given a watched fleet of three entry VMs and three upstreams
--- a/tests/steps/admin_status.py
+++ b/tests/steps/admin_status.py
@@ -18,6 +18,7 @@
 from burdocksill.management.screen import status_screen
 from burdocksill.management.target import Target
 from burdocksill.network.protocols import Address
+from burdocksill.observe.decisions import Step
 from burdocksill.platform.exceptions import PlatformUnavailableError
 from burdocksill.platform.protocols import Platform
 from burdocksill_lab.fakes.deterministic import run_seeded
@@ -200,6 +201,14 @@
     assert times == sorted(times)
 
 
+@then('the explanation begins with where the flow was placed')
+def check_placed(context: Context) -> None:
+    """Compare the first decision, of the VM that got the first packet."""
+    first = context.told.decisions[0]
+    assert first.step == Step.PLACED.value, first
+    assert (first.upstream, first.peer) == ('ledger-1', OWNER), first
+
+
 @when('a watched caller asks for an unknown service')
 def ask_unknown(context: Context) -> None:
     """Send one request that no document fits."""
@@ -238,7 +247,7 @@
 
     async def act(watched: Watched) -> None:
         target = watched.target('cz-b')
-        query = ExplainQuery(token=token)
+        query = ExplainQuery(tokens=(token,))
         try:
             await target.admin.explain(target.entries[0], query)
         except QueryInvalidError as error:
