--- a/burdocksill/management/screen.py
+++ b/burdocksill/management/screen.py
@@ -15,6 +15,9 @@
 from burdocksill.platform.keys import PREFIX
 
 IN_ORDER: Final = 'none'
+GOOD: Final = 'ok'
+# Lines without news that each part shows, so that it stays one screen.
+GOOD_SHOWN: Final = 24
 # A cold upstream serves; its limit on the line says how much.
 HEALTHY: Final = frozenset((UpstreamState.CONNECTED, UpstreamState.COLD))
 
@@ -50,8 +53,21 @@
         yield f'  !! {name} does not answer'
     for name in sorted(dead_names(fleet.nodes)):
         yield f'  -- {name} is believed dead'
-    for node in fleet.nodes:
-        yield f'  {vm_mark(node)} {node.name} in {node.domain}: {vm_text(node)}'
+    yield from shortened(
+        f'{vm_mark(node)} {node.name} in {node.domain}: {vm_text(node)}'
+        for node in fleet.nodes
+    )
+
+
+def shortened(lines: Iterable[str]) -> Iterator[str]:
+    """Yield every line that needs a look, and some of those that do not."""
+    marked = sorted(lines, key=lambda line: line.startswith(GOOD))
+    good = [line for line in marked if line.startswith(GOOD)]
+    shown = len(marked) - max(0, len(good) - GOOD_SHOWN)
+    for line in marked[:shown]:
+        yield f'  {line}'
+    if shown < len(marked):
+        yield f'  {GOOD} and {len(marked) - shown} more'
 
 
 def dead_names(nodes: Iterable[NodeStatus]) -> set[str]:
@@ -114,9 +130,11 @@
             f'  !! {short(record.key)} revision {record.revision} not yet on '
             f'{", ".join(record.behind)}'
         )
+    fine: list[str] = []
     for key, revision in sorted(newest.items()):
         if key not in behind:
-            yield f'  ok {short(key)} revision {revision}'
+            fine.append(f'{GOOD} {short(key)} revision {revision}')
+    yield from shortened(fine)
 
 
 def short(key: str) -> str:
@@ -150,16 +168,11 @@
 def upstream_lines(nodes: tuple[NodeStatus, ...]) -> Iterator[str]:
     """Show every upstream with its owner, those in trouble first."""
     owners = [(line, node.name) for node in nodes for line in node.owned]
-    owners.sort(
-        key=lambda pair: (
-            pair[0].state in HEALTHY,
-            pair[0].service,
-            pair[0].upstream,
-        ),
-    )
+    owners.sort(key=lambda pair: (pair[0].service, pair[0].upstream))
     yield f'UPSTREAMS  {len(owners)} owned'
-    for line, owner in owners:
-        yield f'  {upstream_text(line)}, owner {owner}'
+    yield from shortened(
+        f'{upstream_text(line)}, owner {owner}' for line, owner in owners
+    )
     for missing in unowned(nodes):
         yield f'  !! {missing} has no owner that answers'
 
--- a/tests/admin/status.feature
+++ b/tests/admin/status.feature
@@ -45,3 +45,7 @@
       | upstream="ledger-1",verdict="ran"             |
       | burdocksill_request_seconds{quantile="0.99"}  |
       | burdocksill_request_seconds_count 3           |
+
+  Scenario: The screen of a large fleet shows what needs a look first
+    Then the status screen of 300 VMs, one of them cut off, has at most 80 lines
+    And its first line about a VM is the one that was cut off
--- a/tests/steps/admin_status.py
+++ b/tests/steps/admin_status.py
@@ -3,15 +3,17 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
+import attrs
 import httpx
 import trio
 from behave import given, then, when
 from behave.runner import Context
 
 from burdocksill.admin.app import AdminApp
-from burdocksill.admin.client import AdminClient
+from burdocksill.admin.client import AdminClient, FleetStatus
 from burdocksill.admin.exceptions import QueryInvalidError
 from burdocksill.admin.explain import ExplainQuery
+from burdocksill.admin.messages import NodeStatus, RecordStatus
 from burdocksill.callers.exceptions import CallFailedError
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.management.commands.explain import ask
@@ -270,3 +272,35 @@
     text = context.page.payload.decode()
     for row in context.table:
         assert row['text'] in text, text
+
+
+@then(
+    'the status screen of {count:d} VMs, one of them cut off, has at most '
+    '{limit:d} lines'
+)
+def check_size(context: Context, count: int, limit: int) -> None:
+    """Write the screen of a made-up fleet."""
+    nodes = [
+        NodeStatus(
+            name=f'vm-{number:03}',
+            domain='cz-a',
+            version='0',
+            serving=True,
+            quorate=number != count - 1,
+            key_id=1,
+            records=(RecordStatus(key=f'documents/{number}', revision=1),),
+        )
+        for number in range(count)
+    ]
+    records = tuple(record for node in nodes for record in node.records)
+    fleet = FleetStatus(
+        nodes=tuple(attrs.evolve(node, records=records) for node in nodes),
+    )
+    context.large_screen = status_screen(fleet).splitlines()
+    assert len(context.large_screen) <= limit, len(context.large_screen)
+
+
+@then('its first line about a VM is the one that was cut off')
+def check_first(context: Context) -> None:
+    """Look below the heading."""
+    assert 'hears no majority' in context.large_screen[1], context.large_screen
