Say in the history what the platform has compacted

After a compaction the gateway cancels a watch from an old revision and keeps the stream open and silent; nothing was shown, and a learner's watch would have missed changes until its silence of 30 s was over. The cancel is an error now (E106), and the history goes on from the oldest revision that is left.

--- a/burdocksill/management/history.py
+++ b/burdocksill/management/history.py
@@ -11,6 +11,7 @@
 import attrs
 import trio
 
+from burdocksill.platform.exceptions import PlatformCompactedError
 from burdocksill.platform.protocols import Platform, StoredValue
 
 FIRST_REVISION = 1
@@ -30,16 +31,31 @@
     current = await platform.read(key)
     if current is None:
         return History(revisions=(), complete=True)
+    try:
+        found = await revisions_from(platform, current, FIRST_REVISION)
+    except PlatformCompactedError as compacted:
+        later = await revisions_from(platform, current, compacted.revision)
+        # The newest one stands even when its own revision was compacted.
+        return History(revisions=later or (current,), complete=False)
+    return History(revisions=found, complete=True)
+
+
+async def revisions_from(
+    platform: Platform,
+    current: StoredValue,
+    first: int,
+) -> tuple[StoredValue, ...]:
+    """Return a record's revisions from one on, up to the current one."""
     found: list[StoredValue] = []
+    if first > current.revision:
+        return ()
     with trio.move_on_after(READ_SECONDS):
-        changes = platform.watch(prefix=key, from_revision=FIRST_REVISION)
+        changes = platform.watch(prefix=current.key, from_revision=first)
         async with aclosing(changes):
             async for change in changes:
                 # A watch follows a prefix; other names may begin alike.
-                if change.key == key:
+                if change.key == current.key:
                     found.append(change)
                 if change.revision >= current.revision:
                     break
-    if current.revision not in {kept.revision for kept in found}:
-        return History(revisions=(current,), complete=False)
-    return History(revisions=tuple(found), complete=True)
+    return tuple(found)
--- a/burdocksill/platform/etcd.py
+++ b/burdocksill/platform/etcd.py
@@ -11,6 +11,7 @@
 
 from burdocksill.platform import keys
 from burdocksill.platform.exceptions import (
+    PlatformCompactedError,
     PlatformReplyError,
     PlatformUnavailableError,
 )
@@ -192,4 +193,10 @@
     if not line.strip():
         return []
     answer = json.loads(line).get('result', {})
+    if answer.get('canceled'):
+        # The stream stays open and silent after this: without an error, a
+        # watch from a compacted revision would miss every change.
+        raise PlatformCompactedError(
+            revision=int(answer.get('compact_revision', 0)),
+        )
     return [decode_pair(event['kv']) for event in answer.get('events', [])]
--- a/burdocksill/platform/exceptions.py
+++ b/burdocksill/platform/exceptions.py
@@ -13,3 +13,17 @@
     """Say that the platform's answer could not be understood."""
 
     code = 'burdocksill.E102'
+
+
+class PlatformCompactedError(BurdocksillError):
+    """Say that old revisions are gone; `revision` is the oldest left."""
+
+    code = 'burdocksill.E106'
+
+    def __init__(self, *, revision: int) -> None:
+        """Keep the oldest revision that can be watched."""
+        super().__init__(
+            message=f'revisions before {revision} were compacted',
+            hint='read what stands now and watch from there',
+        )
+        self.revision = revision
--- a/tests/management/commands.feature
+++ b/tests/management/commands.feature
@@ -68,3 +68,11 @@
     Then the command ends with 2 and prints "set BURDOCKSILL_PLATFORM"
     When the command "status" runs
     Then the command ends with 5 and prints "burdocksill --entry HOST:PORT"
+
+  Scenario: History says what the platform has compacted
+    When the command "document put FILE" runs on the document with 2 slots
+    And the command "document put FILE" runs on the document with 3 slots
+    And the platform of the commands compacts all but the newest revision
+    And the command "document history kiosk-ledger" runs
+    Then the command ends with 0 and prints "compacted the earlier revisions"
+    And the history names 1 revisions of this service alone
--- a/tests/steps/management_commands.py
+++ b/tests/steps/management_commands.py
@@ -1,8 +1,11 @@
 """Steps about the operators' commands, run in this process."""
 
+import json
 import tempfile
+from collections.abc import AsyncGenerator
 from pathlib import Path
 
+import attrs
 import httpx
 from behave import given, then, when
 from behave.runner import Context
@@ -15,7 +18,8 @@
 from burdocksill.management.main import main
 from burdocksill.management.target import Target
 from burdocksill.platform import keys
-from burdocksill.platform.protocols import VmRecord
+from burdocksill.platform.etcd import decode_events
+from burdocksill.platform.protocols import StoredValue, VmRecord
 from burdocksill_lab.stand_ins.store import MemoryPlatform
 
 DOCUMENT = """\
@@ -32,6 +36,26 @@
 """
 
 
+@attrs.define(kw_only=True)
+class CompactingPlatform(MemoryPlatform):
+    """Answer watches as the gateway does after a compaction."""
+
+    oldest: int = 0
+
+    async def watch(
+        self, *, prefix: str, from_revision: int
+    ) -> AsyncGenerator[StoredValue, None]:
+        """Refuse a watch from a revision that is gone."""
+        if from_revision < self.oldest:
+            gone = {'canceled': True, 'compact_revision': self.oldest}
+            decode_events(json.dumps({'result': gone}))
+        changes = MemoryPlatform.watch(
+            self, prefix=prefix, from_revision=from_revision
+        )
+        async for change in changes:
+            yield change
+
+
 def refuse(request: httpx.Request) -> httpx.Response:
     """Refuse every connection."""
     raise httpx.ConnectError('refused')
@@ -40,7 +64,7 @@
 @given('the commands run against a platform with fleet keys')
 def make_target(context: Context) -> None:
     """Give the commands a platform in memory and no VM."""
-    platform = MemoryPlatform()
+    platform = CompactingPlatform()
     platform.put(keys.FLEET_KEYS, encode_ring(rotate(None)))
     # Another service whose name begins alike.
     other = DOCUMENT.format(slots=1).replace('kiosk-ledger', 'kiosk-ledger-2')
@@ -147,3 +171,10 @@
     stored = context.command_platform.current[keys.FLEET_KEYS]
     for key in decode_ring(stored.value).keys:
         assert key.secret not in context.command.output
+
+
+@when('the platform of the commands compacts all but the newest revision')
+def compact(context: Context) -> None:
+    """Forget all revisions but the newest."""
+    platform = context.command_platform
+    platform.oldest = platform.revision
