--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -9,7 +9,13 @@
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.flows.cookie import Cookie, CookieAge, CookieSealer, name_tag
+from burdocksill.flows.cookie import (
+    Cookie,
+    CookieAge,
+    CookieSealer,
+    address_tag,
+    name_tag,
+)
 from burdocksill.flows.exceptions import CookieInvalidError
 from burdocksill.flows.placement import Placement, Placer
 from burdocksill.membership.protocols import Member, MemberView
@@ -27,17 +33,25 @@
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import Opened
 from burdocksill.peers.messages import RelayRequest
-from burdocksill.requests.codec import decode_request, encode_answer
+from burdocksill.requests.blocks import Transfers
+from burdocksill.requests.codec import (
+    decode_request,
+    encode_answer,
+    encode_short_answer,
+)
 from burdocksill.requests.exceptions import (
     MalformedDatagramError,
     RequestFailedError,
+    UnsupportedRequestError,
 )
 from burdocksill.requests.messages import Answer, Envelope
-from burdocksill.requests.refusals import refusal
+from burdocksill.requests.refusals import BAD_OPTION, refusal, unsupported
+from burdocksill.requests.rejection import is_confirmable, reset_for
 from burdocksill.requests.verdict import Reason, Verdict
 
 # Relay, former owner, heir and one more; a longer way is a loop.
 HOP_LIMIT: Final = 4
+AMPLIFICATION: Final = 3
 # A new flow is passed on at most this far: VMs and upstreams both count.
 LONGEST_PATH: Final = 9
 DETOUR_SECONDS: Final = 0.3
@@ -59,6 +73,8 @@
     socket: DatagramSocket
     clock: WallClock
     foreign: ForeignRule
+    # The answers and bodies in transfer of every upstream owned here.
+    transfers: Transfers
     counters: Counters
     nursery: trio.Nursery
     detours: int = 0
@@ -86,8 +102,8 @@
         self.counters.add('caller_datagrams')
         try:
             request = decode_request(datagram.payload)
-        except MalformedDatagramError:
-            self.counters.add('malformed_datagrams')
+        except (MalformedDatagramError, UnsupportedRequestError) as error:
+            self.refuse_datagram(datagram, error)
             return
         envelope = Envelope(
             request=request,
@@ -98,6 +114,28 @@
         with self.tracing.first_hop('entry'):
             self.route(envelope)
 
+    def refuse_datagram(
+        self,
+        datagram: Datagram,
+        error: MalformedDatagramError | UnsupportedRequestError,
+    ) -> None:
+        """Count what cannot be served, and answer where CoAP says so."""
+        self.counters.add('malformed_datagrams')
+        confirmable = is_confirmable(datagram.payload)
+        if isinstance(error, UnsupportedRequestError) and (
+            confirmable or error.coap_code != BAD_OPTION
+        ):
+            envelope = Envelope(
+                request=error.request,
+                caller=datagram.peer,
+                raw=datagram.payload,
+            )
+            self.reply(envelope, unsupported(error))
+            return
+        reset = reset_for(datagram.payload)
+        if reset:
+            self.socket.send(reset, datagram.peer)
+
     def take_relayed(self, opened: Opened, peer: Address) -> None:
         """Serve a request that another VM relayed because we own it."""
         message = opened.message
@@ -106,7 +144,7 @@
         self.counters.add('relayed_in')
         try:
             request = decode_request(message.raw)
-        except MalformedDatagramError:
+        except (MalformedDatagramError, UnsupportedRequestError):
             self.counters.add('malformed_datagrams')
             return
         envelope = Envelope(
@@ -127,7 +165,7 @@
         try:
             self.route_checked(envelope)
         except RequestFailedError as failure:
-            self.refuse(envelope, failure)
+            self.reply(envelope, count_refusal(self, envelope, failure))
         except BurdocksillError:
             self.counters.add('unroutable')
 
@@ -145,7 +183,7 @@
         if cookie is None:
             self.place(envelope, document)
         else:
-            self.follow(envelope, cookie)
+            self.follow(verify(envelope, cookie), cookie)
 
     def place(self, envelope: Envelope, document: ServiceDocument) -> None:
         """Choose an upstream for a new flow and go to its owner."""
@@ -298,13 +336,14 @@
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.NO_UPSTREAM,
             )
-            self.refuse(envelope, failure)
+            self.reply(envelope, count_refusal(self, envelope, failure))
             return
         cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
-            self.nursery.start_soon(owned.enter, envelope, cookie)
+            checked = verify(envelope, cookie)
+            self.nursery.start_soon(owned.enter, checked, cookie)
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -343,23 +382,47 @@
         )
         self.channel.send(message, peer)
 
-    def refuse(self, envelope: Envelope, failure: RequestFailedError) -> None:
-        """Answer a request that this VM will not pass on, and say why."""
-        answer = refusal(failure)
-        # A caller can write any name of a service into a request; only names
-        # with a document become labels, or a scan would fill the memory.
-        service = envelope.request.service
-        self.counters.add(
-            'answers',
-            service=service if service in self.store.services else '',
-            upstream='',
-            verdict=answer.verdict.value,
-            reason=failure.reason.value,
-        )
-        self.reply(envelope, answer)
-
     def reply(self, envelope: Envelope, answer: Answer) -> None:
-        """Send an answer straight to the caller."""
+        """Send an answer straight to the caller.
+
+        Anybody can write any address into a datagram. Until a cookie came
+        back from there, an answer has at most three times the size of its
+        request (RFC 7252, section 11.3), so that nobody is flooded by us.
+        """
         self.decisions.answered(envelope, answer)
         encoded = encode_answer(envelope.request, answer)
+        most = AMPLIFICATION * len(envelope.raw)
+        if not envelope.verified and len(encoded) > most:
+            self.counters.add('answers_shortened')
+            encoded = encode_short_answer(envelope.request, answer)
+            if len(encoded) > most:
+                self.counters.add('answers_withheld')
+                return
         self.socket.send(encoded, envelope.caller)
+
+
+def verify(envelope: Envelope, cookie: Cookie | None) -> Envelope:
+    """Mark a request whose cookie was given to the address it comes from."""
+    if cookie is None or cookie.address_tag != address_tag(envelope.caller):
+        return envelope
+    return attrs.evolve(envelope, verified=True)
+
+
+def count_refusal(
+    router: Router,
+    envelope: Envelope,
+    failure: RequestFailedError,
+) -> Answer:
+    """Count and return the answer to a request that is not passed on."""
+    answer = refusal(failure)
+    # A caller can write any name of a service into a request; only names
+    # with a document become labels, or a scan would fill the memory.
+    service = envelope.request.service
+    router.counters.add(
+        'answers',
+        service=service if service in router.store.services else '',
+        upstream='',
+        verdict=answer.verdict.value,
+        reason=failure.reason.value,
+    )
+    return answer
--- a/burdocksill/observe/decisions.py
+++ b/burdocksill/observe/decisions.py
@@ -86,7 +86,13 @@
         )
 
     def answered(self, envelope: Envelope, answer: Answer) -> None:
-        """Keep an answer; one that opens a flow names it by its cookie."""
+        """Keep an answer; one that opens a flow names it by its cookie.
+
+        A feed's notifications are many and tell nothing of a decision; they
+        would push out what operators ask about.
+        """
+        if answer.observe is not None:
+            return
         opens = answer.reason is Reason.COOKIE_NEEDED
         owner_answers = len(answer.hops) > len(envelope.hops)
         self.ring.append(
--- a/burdocksill/requests/codec.py
+++ b/burdocksill/requests/codec.py
@@ -4,16 +4,26 @@
 documents of errors follow RFC 9290.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, Final
 
 import aiocoap
+import attrs
 import cbor2
 from aiocoap import Code, Message
 from aiocoap.error import Error as CoapError
-from aiocoap.optiontypes import BlockOption
 
-from burdocksill.requests.exceptions import MalformedDatagramError
-from burdocksill.requests.messages import Answer, CallerRequest
+from burdocksill.requests.exceptions import (
+    MalformedDatagramError,
+    UnsupportedRequestError,
+)
+from burdocksill.requests.messages import (
+    LARGEST_EXPONENT,
+    Answer,
+    Block,
+    CallerRequest,
+)
 from burdocksill.requests.verdict import Reason, Verdict
 
 # Options of the range for experiments (RFC 7252, section 12.2). All three are
@@ -22,26 +32,79 @@
 OPTION_CANCEL: Final = 65084
 OPTION_HOPS: Final = 65116
 PROBLEM_FORMAT: Final = 257
-# Keys of a problem document; positive ones are ours.
+# Keys of a problem document (RFC 9290, sections 2 and 2.2): entries of our
+# own stand in a map of their own under a URI.
 PROBLEM_TITLE: Final = -1
 PROBLEM_DETAIL: Final = -2
+PROBLEM_REQUEST: Final = 'tag:burdocksill,2026:request'
 PROBLEM_VERDICT: Final = 'verdict'
 PROBLEM_REASON: Final = 'reason'
 MS_PER_SECOND: Final = 1000
+LONGEST_TIMEOUT_BYTES: Final = 4
+HEADER_BYTES: Final = 4
+TOKEN_LENGTH_MASK: Final = 15
+LONGEST_TOKEN: Final = 8
+BLOCK_NUMBERS: Final = 1 << 20
+# Critical options that are understood: Uri-Host, Uri-Port, Uri-Path,
+# Uri-Query, Block2 and Block1 (RFC 7252, section 5.10; RFC 7959).
+UNDERSTOOD: Final = frozenset((3, 7, 11, 15, 23, 27))
+REPEATABLE: Final = frozenset((11, 15))
+PROXY_OPTIONS: Final = frozenset((35, 39))
+METHODS: Final = frozenset(
+    ('GET', 'POST', 'PUT', 'DELETE', 'FETCH', 'PATCH', 'iPATCH')
+)
 
 
-def encode_block(block: Any) -> bytes:
-    """Return a block option's bytes, empty when it is absent."""
+@attrs.frozen(kw_only=True)
+class Problem:
+    """Hold what a problem document says of a request."""
+
+    verdict: Verdict
+    reason: Reason | None
+    detail: str = ''
+
+
+NOT_RUN_PROBLEM: Final = Problem(
+    verdict=Verdict.NOT_RUN,
+    reason=Reason.BAD_REQUEST,
+)
+SHORT_PROBLEMS: Final[Mapping[str, Problem]] = MappingProxyType(
+    {
+        'UNAUTHORIZED': Problem(
+            verdict=Verdict.NOT_RUN, reason=Reason.COOKIE_NEEDED
+        ),
+        'SERVICE_UNAVAILABLE': Problem(
+            verdict=Verdict.NOT_RUN, reason=Reason.OVERLOADED
+        ),
+        'GATEWAY_TIMEOUT': Problem(
+            verdict=Verdict.MAY_HAVE_RUN, reason=Reason.OWNER_LOST
+        ),
+        'BAD_GATEWAY': Problem(
+            verdict=Verdict.RAN, reason=Reason.ANSWER_DROPPED
+        ),
+    }
+)
+
+
+def read_block(block: Any) -> Block | None:
+    """Return a block option of the library, None when it is absent."""
+    if block is None:
+        return None
+    number, more, exponent = block
+    if exponent > LARGEST_EXPONENT or number >= BLOCK_NUMBERS:
+        return INVALID_BLOCK
+    return Block(number=number, more=more, exponent=exponent)
+
+
+def write_block(block: Block | None) -> Any:
+    """Return what the library takes for a block option."""
     if block is None:
-        return b''
-    return bytes(BlockOption(27, block).encode()) or b'\0'
+        return None
+    return (block.number, block.more, block.exponent)
 
 
-def decode_block(encoded: bytes) -> Any:
-    """Return the block tuple of a block option's bytes."""
-    option = BlockOption(27)
-    option.decode(encoded)
-    return option.value
+# Stands for a block option that cannot be served; its request is refused.
+INVALID_BLOCK: Final = Block(number=BLOCK_NUMBERS)
 
 
 def option_bytes(message: Message, number: int) -> bytes | None:
@@ -52,6 +115,13 @@
 
 def decode_message(payload: bytes) -> Message:
     """Read one CoAP message; raise MalformedDatagramError."""
+    token_bytes = payload[0] & TOKEN_LENGTH_MASK if payload else 0
+    whole = len(payload) >= HEADER_BYTES + token_bytes
+    if token_bytes > LONGEST_TOKEN or not whole:
+        raise MalformedDatagramError(
+            message=f'{len(payload)} bytes with a token of {token_bytes}',
+            hint='a token has at most 8 bytes (RFC 7252, section 3)',
+        )
     try:
         return Message.decode(payload, None)
     except (CoapError, ValueError, IndexError, KeyError) as error:
@@ -62,7 +132,11 @@
 
 
 def decode_request(payload: bytes) -> CallerRequest:
-    """Read a caller's datagram."""
+    """Read a caller's datagram.
+
+    Raise MalformedDatagramError for what is no request, and
+    UnsupportedRequestError for a request that CoAP wants refused.
+    """
     message = decode_message(payload)
     if not message.code.is_request():
         raise MalformedDatagramError(
@@ -70,10 +144,9 @@
             hint='callers send requests only',
         )
     opt = message.opt
-    timeout = option_bytes(message, OPTION_TIMEOUT_MS)
-    return CallerRequest(
+    request = CallerRequest(
         service=opt.uri_host or '',
-        method=message.code.name,
+        method=method_name(message.code),
         token=message.token,
         message_id=message.mid,
         confirmable=message.mtype is aiocoap.CON,
@@ -81,15 +154,66 @@
         query=tuple(opt.uri_query),
         payload=message.payload,
         cookie=opt.echo or b'',
-        timeout_seconds=int.from_bytes(timeout or b'', 'big') / MS_PER_SECOND,
+        timeout_seconds=read_timeout(message),
         observe=opt.observe,
-        block1=encode_block(opt.block1),
-        block2=encode_block(opt.block2),
+        block1=read_block(opt.block1),
+        block2=read_block(opt.block2),
         etag=opt.etag or b'',
+        request_tag=b''.join(opt.request_tag),
+        size1=opt.size1,
         content_format=opt.content_format,
         wants_hops=option_bytes(message, OPTION_HOPS) is not None,
         cancels=option_bytes(message, OPTION_CANCEL) is not None,
     )
+    require_supported(message, request)
+    return request
+
+
+def method_name(code: Code) -> str:
+    """Return a method's name, empty for one that nobody has defined."""
+    name = getattr(code, 'name', '')
+    return name if name in METHODS else ''
+
+
+def read_timeout(message: Message) -> float:
+    """Return how long the caller waits, 0 when it does not say so well."""
+    encoded = option_bytes(message, OPTION_TIMEOUT_MS) or b''
+    if len(encoded) > LONGEST_TIMEOUT_BYTES:
+        # An elective option of a wrong length is ignored (section 5.4.3).
+        return 0
+    return int.from_bytes(encoded, 'big') / MS_PER_SECOND
+
+
+def require_supported(message: Message, request: CallerRequest) -> None:
+    """Raise UnsupportedRequestError where CoAP wants a request refused."""
+    numbers = [int(option.number) for option in message.opt.option_list()]
+    critical = [number for number in numbers if number % 2]
+    if not request.method:
+        raise UnsupportedRequestError(
+            request=request,
+            coap_code='METHOD_NOT_ALLOWED',
+            message=f'method {message.code} is unknown',
+        )
+    if PROXY_OPTIONS.intersection(critical):
+        raise UnsupportedRequestError(
+            request=request,
+            coap_code='PROXYING_NOT_SUPPORTED',
+            message='this is no forward proxy',
+        )
+    for number in critical:
+        repeated = number not in REPEATABLE and critical.count(number) > 1
+        if number not in UNDERSTOOD or repeated:
+            raise UnsupportedRequestError(
+                request=request,
+                coap_code='BAD_OPTION',
+                message=f'critical option {number} is unknown or repeated',
+            )
+    if INVALID_BLOCK in {request.block1, request.block2}:
+        raise UnsupportedRequestError(
+            request=request,
+            coap_code='BAD_REQUEST',
+            message='a block option is out of its range',
+        )
 
 
 def encode_request(request: CallerRequest) -> bytes:
@@ -109,10 +233,10 @@
     opt.observe = request.observe
     opt.content_format = request.content_format
     opt.etags = [request.etag] if request.etag else []
-    if request.block1:
-        opt.block1 = decode_block(request.block1)
-    if request.block2:
-        opt.block2 = decode_block(request.block2)
+    opt.request_tag = [request.request_tag] if request.request_tag else []
+    opt.size1 = request.size1
+    opt.block1 = write_block(request.block1)
+    opt.block2 = write_block(request.block2)
     if request.timeout_seconds > 0:
         timeout = int(request.timeout_seconds * MS_PER_SECOND)
         add_option(message, OPTION_TIMEOUT_MS, timeout.to_bytes(4, 'big'))
@@ -146,10 +270,9 @@
         opt.max_age = max(0, round(answer.max_age_seconds))
     if answer.etag:
         opt.etag = answer.etag
-    if answer.block1:
-        opt.block1 = decode_block(answer.block1)
-    if answer.block2:
-        opt.block2 = decode_block(answer.block2)
+    opt.block1 = write_block(answer.block1)
+    opt.block2 = write_block(answer.block2)
+    opt.size2 = answer.size2
     if answer.reason is not None:
         opt.content_format = PROBLEM_FORMAT
         message.payload = encode_problem(answer)
@@ -164,36 +287,73 @@
         {
             PROBLEM_TITLE: str(answer.reason),
             PROBLEM_DETAIL: answer.message,
-            PROBLEM_VERDICT: answer.verdict.value,
-            PROBLEM_REASON: str(answer.reason),
+            PROBLEM_REQUEST: {
+                PROBLEM_VERDICT: answer.verdict.value,
+                PROBLEM_REASON: str(answer.reason),
+            },
         }
     )
 
 
+def encode_short_answer(request: CallerRequest, answer: Answer) -> bytes:
+    """Write the least that still tells the caller what became of it.
+
+    The problem document is empty: its reader goes by the code.
+    """
+    code = answer.code if answer.reason else 'BAD_GATEWAY'
+    short = Answer(
+        code=code,
+        verdict=answer.verdict,
+        content_format=PROBLEM_FORMAT,
+        max_age_seconds=answer.max_age_seconds,
+        cookie=answer.cookie,
+    )
+    return encode_answer(attrs.evolve(request, wants_hops=False), short)
+
+
 def decode_answer(payload: bytes) -> tuple[bytes, Answer]:
     """Read a datagram that answers a request; return its token too."""
     message = decode_message(payload)
+    if not message.code.is_response():
+        raise MalformedDatagramError(message=f'{message.code} is no answer')
     opt = message.opt
     hops = option_bytes(message, OPTION_HOPS) or b''
-    verdict, reason, detail = Verdict.RAN, None, ''
+    problem = Problem(verdict=Verdict.RAN, reason=None)
     if opt.content_format == PROBLEM_FORMAT:
-        problem = cbor2.loads(message.payload)
-        verdict = Verdict(problem[PROBLEM_VERDICT])
-        reason = Reason(problem[PROBLEM_REASON])
-        detail = problem[PROBLEM_DETAIL]
+        problem = decode_problem(message.code.name, message.payload)
     answer = Answer(
         code=message.code.name,
-        verdict=verdict,
+        verdict=problem.verdict,
         payload=message.payload,
         content_format=opt.content_format,
-        reason=reason,
-        message=detail,
+        reason=problem.reason,
+        message=problem.detail,
         max_age_seconds=opt.max_age,
         cookie=opt.echo or b'',
         observe=opt.observe,
-        block1=encode_block(opt.block1),
-        block2=encode_block(opt.block2),
+        block1=read_block(opt.block1),
+        block2=read_block(opt.block2),
+        size2=opt.size2,
         etag=opt.etag or b'',
-        hops=tuple(hops.decode().split('>')) if hops else (),
+        hops=tuple(hops.decode(errors='replace').split('>')) if hops else (),
     )
     return message.token, answer
+
+
+def decode_problem(code: str, payload: bytes) -> Problem:
+    """Read a problem document; its answer's code says the rest."""
+    fallback = SHORT_PROBLEMS.get(code, NOT_RUN_PROBLEM)
+    if not payload:
+        return fallback
+    try:
+        document = cbor2.loads(payload)
+        ours = document[PROBLEM_REQUEST]
+        return Problem(
+            verdict=Verdict(ours[PROBLEM_VERDICT]),
+            reason=Reason(ours[PROBLEM_REASON]),
+            detail=str(document.get(PROBLEM_DETAIL, '')),
+        )
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError):
+        # Written by another version or by something between us: the code
+        # alone never claims too much.
+        return fallback
