--- a/burdocksill/callers/display.py
+++ b/burdocksill/callers/display.py
@@ -6,6 +6,7 @@
 import click
 
 from burdocksill.callers.exceptions import CallFailedError
+from burdocksill.callers.feeds import Notification
 from burdocksill.callers.script import Call
 from burdocksill.flows.cookie import FLOW_ID_PLACE
 from burdocksill.requests.messages import Answer
@@ -66,6 +67,22 @@
         click.echo(f'hops: {" > ".join(report.hops)}')
 
 
+def show_notification(notification: Notification, *, as_json: bool) -> None:
+    """Print one notification; those lost for good before it are counted."""
+    text = notification.payload.decode(errors='replace')
+    if as_json:
+        line = {
+            'position': notification.position,
+            'missed': notification.missed,
+            'payload': text,
+        }
+        click.echo(json.dumps(line))
+        return
+    if notification.missed:
+        click.echo(f'{notification.missed} notifications were lost', err=True)
+    click.echo(f'{notification.position} {text}')
+
+
 def show_failure(report: CallReport) -> None:
     """Print a failure, its verdict and when to come back."""
     click.echo(
--- a/burdocksill/callers/main.py
+++ b/burdocksill/callers/main.py
@@ -1,17 +1,24 @@
 """The program burdocksill-call: a session of requests and what came of them."""
 
+import math
 import sys
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Final, TextIO
+from typing import Any, Final, TextIO
 
 import attrs
 import click
 import trio
 
 from burdocksill import VERSION
-from burdocksill.callers.display import answered, failed, show
-from burdocksill.callers.exceptions import CallFailedError
+from burdocksill.callers.display import (
+    answered,
+    failed,
+    show,
+    show_notification,
+)
+from burdocksill.callers.exceptions import CallFailedError, ScriptInvalidError
+from burdocksill.callers.feeds import open_feed
 from burdocksill.callers.script import Call, make_call, read_script
 from burdocksill.callers.session import (
     DEFAULT_TIMEOUT_SECONDS,
@@ -44,6 +51,56 @@
     calls: tuple[Call, ...]
     timeout_seconds: float
     as_json: bool
+    # How many notifications of a feed to show, and after which position.
+    count: float
+    after: int | None
+
+
+@attrs.frozen(kw_only=True)
+class CommandLine:
+    """Hold the flags and arguments as they were given."""
+
+    server: str
+    service: str
+    method: str
+    payload: str
+    script: TextIO | None
+    timeout: float
+    paths: tuple[str, ...]
+    count: int | None
+    after: int | None
+    feed: bool
+    as_json: bool
+
+    def plan(self) -> Plan:
+        """Read everything before anything is sent."""
+        calls = self.calls()
+        if not calls:
+            raise ScriptInvalidError(
+                message='there is nothing to send',
+                hint='give a PATH or --script',
+            )
+        if self.feed and len(calls) > 1:
+            raise ScriptInvalidError(
+                message=f'--feed was given {len(calls)} paths',
+                hint='give one; a session follows one feed here',
+            )
+        return Plan(
+            service=require_name('--service', self.service),
+            server=parse_address('--server', self.server),
+            calls=calls,
+            timeout_seconds=self.timeout,
+            as_json=self.as_json,
+            count=self.count or math.inf,
+            after=self.after,
+        )
+
+    def calls(self) -> tuple[Call, ...]:
+        """Return the calls of the paths, then those of the script."""
+        named = (
+            make_call(self.method, path, self.payload) for path in self.paths
+        )
+        return (*named, *read_script(self.script or ()))
 
 
 @click.command(context_settings={'auto_envvar_prefix': 'BURDOCKSILL_CALL'})
@@ -63,45 +120,62 @@
     show_default=True,
     help='Seconds to wait for each answer.',
 )
+@click.option('--feed', is_flag=True, help='Follow the feed at PATH.')
+@click.option(
+    '--count',
+    type=click.IntRange(min=1),
+    help='End a feed after so many notifications; default: never.',
+)
+@click.option(
+    '--after',
+    type=int,
+    help='Go on with a feed after this position; default: from now on.',
+)
 @click.option('--json', 'as_json', is_flag=True, help='Print a JSON line each.')
 @click.argument('paths', nargs=-1, metavar='[PATH]...')
 @click.version_option(VERSION)
-def main(
-    server: str,
-    service: str,
-    method: str,
-    payload: str,
-    script: TextIO | None,
-    timeout: float,
-    paths: tuple[str, ...],
-    *,
-    as_json: bool,
-) -> None:
-    """Send requests in one session and show verdicts and hops.
+def main(**given: Any) -> None:
+    """Send requests in one session, or follow a feed.
+
+    Each request shows its verdict and hops, each notification its position.
 
     \b
     The session ends with the first request that fails. Exit codes: 0 all
     answers are whole, 2 wrong usage, 3 not run, 4 may have run, 5 ran but
     its answer cannot be delivered.
     """
+    line = CommandLine(**given)
     try:
-        plan = Plan(
-            service=require_name('--service', service),
-            server=parse_address('--server', server),
-            calls=(
-                *(make_call(method, path, payload) for path in paths),
-                *read_script(script or ()),
-            ),
-            timeout_seconds=timeout,
-            as_json=as_json,
-        )
+        plan = line.plan()
     except BurdocksillError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_USAGE)
-    if not plan.calls:
-        click.echo('nothing to send: give a PATH or --script', err=True)
-        sys.exit(EXIT_USAGE)
-    sys.exit(trio.run(send_all, plan))
+    sys.exit(trio.run(follow_feed if line.feed else send_all, plan))
+
+
+async def follow_feed(plan: Plan) -> int:
+    """Show a feed's notifications and return the exit code."""
+    call = plan.calls[0]
+    async with (
+        open_session(
+            service=plan.service,
+            server=plan.server,
+            network=SocketNetwork(),
+            wants_hops=True,
+        ) as session,
+        open_feed(session, call.path, after=plan.after) as reader,
+    ):
+        seen = 0
+        while seen < plan.count:
+            try:
+                notification = await reader.receive()
+            except CallFailedError as error:
+                report = failed(call, error, session.cookie)
+                show(report, as_json=plan.as_json)
+                return EXIT_CODES[error.verdict]
+            show_notification(notification, as_json=plan.as_json)
+            seen += 1
+    return EXIT_DONE
 
 
 async def send_all(plan: Plan) -> int:
--- a/tests/callers/script.feature
+++ b/tests/callers/script.feature
@@ -14,5 +14,8 @@
     Then burdocksill-call with "--server 127.13.9.9:1 --service a" ends with 2
     And burdocksill-call with "--server nowhere --service a b" ends with 2
 
+  Scenario: A session follows one feed
+    Then burdocksill-call with "--server 127.13.9.9:1 --service a --feed b c" ends with 2
+
   Scenario: Nobody answers, so no cookie came and nothing can have run
     Then burdocksill-call with "--server 127.13.9.9:1 --service a --timeout 0.1 b" ends with 3
