--- a/tests/docs/metrics.feature
+++ b/tests/docs/metrics.feature
@@ -5,5 +5,8 @@
   Scenario: Every counter of the code is on the page
     Then docs/reference/metrics.md names every counter of the code
 
+  Scenario: Every dependency is on the page
+    Then docs/internals/dependencies.md names every dependency
+
   Scenario: Every reason of a failed request is on the page
     Then docs/topics/verdicts.md names every reason of the code
--- a/tests/steps/docs_metrics.py
+++ b/tests/steps/docs_metrics.py
@@ -1,6 +1,7 @@
 """Steps about pages that list what the code has."""
 
 import re
+import tomllib
 from pathlib import Path
 
 from behave import then
@@ -48,3 +49,13 @@
         reason.value for reason in Reason if f'`{reason.value}`' not in named
     ]
     assert not unnamed, unnamed
+
+
+@then('docs/internals/dependencies.md names every dependency')
+def check_dependencies(context: Context) -> None:
+    """Compare the page with what the project asks for."""
+    project = tomllib.loads((ROOT / 'pyproject.toml').read_text())['project']
+    page = (ROOT / 'docs/internals/dependencies.md').read_text()
+    names = [re.split(r'[<>=~]', text)[0] for text in project['dependencies']]
+    unnamed = [name for name in names if f'`{name}`' not in page]
+    assert names and not unnamed, unnamed
--- a/tools/observe_cost.py
+++ b/tools/observe_cost.py
@@ -1,4 +1,4 @@
-"""Measure what counters, decisions and traces cost for one request."""
+"""Measure what counters, decisions, traces and a relay cost a request."""
 
 import logging
 import sys
@@ -8,6 +8,7 @@
 from random import Random
 
 from burdocksill.conf.logs import configure_logging
+from burdocksill.flows.keys import KeyHolder, rotate
 from burdocksill.membership.protocols import Member
 from burdocksill.network.protocols import Address
 from burdocksill.network.sockets import SystemClock
@@ -18,6 +19,8 @@
     current_traceparent,
     inner_span,
 )
+from burdocksill.peers.envelope import EnvelopeSealer
+from burdocksill.peers.messages import RelayRequest
 from burdocksill.requests.messages import Answer, CallerRequest, Envelope
 from burdocksill.requests.verdict import Verdict
 
@@ -55,6 +58,22 @@
         current_traceparent()
 
 
+def relay() -> Callable[[], object]:
+    """Return a call that seals and opens the datagram of one relay."""
+    sealer = EnvelopeSealer(
+        sender='cz-a-entry-1',
+        keys=KeyHolder(ring=rotate(None)),
+        clock=SystemClock(),
+    )
+    message = RelayRequest(
+        raw=bytes(120),
+        caller_host='10.0.0.1',
+        caller_port=40000,
+        hops=('cz-a-entry-1',),
+    )
+    return lambda: sealer.open(sealer.seal(message))
+
+
 def ring_bytes() -> float:
     """Return the bytes of one decision in a full ring."""
     log = DecisionLog(clock=SystemClock())
@@ -102,6 +121,7 @@
             'decision of an answer, us': best(
                 lambda: log.answered(envelope, answer)
             ),
+            'relay sealed and opened, us': best(relay()),
             'traces off, us a request': best(lambda: trace(off)),
             'traces 1%, us a request': best(lambda: trace(some)),
             'traces 100%, us a request': best(lambda: trace(every)),
