--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -117,6 +117,8 @@
             succession=self.guards.succession(),
         )
         self.hints = HintBook(own=self.owners.hints)
+        self.fleet.hints.source = self.hints
+        self.fleet.hints.sink = self.hints
         self.router = Router(
             members=self.membership,
             store=self.store,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -246,7 +246,7 @@
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
         holder = self.members.find(cookie.owner_tag)
-        if holder is not None and self.can_visit(holder, envelope):
+        if holder is not None and can_visit(holder, envelope):
             self.decisions.followed(envelope, cookie, holder)
             self.relay(envelope, holder.peer_address)
             return
@@ -263,7 +263,7 @@
                 self.decisions.followed(envelope, cookie, owner)
                 self.nursery.start_soon(owned.serve, envelope, cookie)
                 return
-        elif owner is not None and self.can_visit(owner, envelope):
+        elif owner is not None and can_visit(owner, envelope):
             self.decisions.followed(envelope, cookie, owner)
             self.relay(envelope, owner.peer_address)
             return
@@ -318,25 +318,12 @@
             message='the owner that knew this request is gone',
         )
 
-    def can_visit(self, member: Member, envelope: Envelope) -> bool:
-        """Return True for another VM that has not seen the packet yet.
-
-        Two VMs that take each other for the owner would pass a packet back
-        and forth; its hops show it, and none goes round twice.
-        """
-        visited = member.name in envelope.hops
-        return not visited and len(envelope.hops) < HOP_LIMIT
-
     def enter(self, envelope: Envelope, upstream: str) -> None:
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
         if owned is None:
-            failure = RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=Reason.NO_UPSTREAM,
-            )
-            self.reply(envelope, count_refusal(self, envelope, failure))
+            self.pass_to_owner(envelope, upstream)
             return
         cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
@@ -345,6 +332,23 @@
             checked = verify(envelope, cookie)
             self.nursery.start_soon(owned.enter, checked, cookie)
 
+    def pass_to_owner(self, envelope: Envelope, upstream: str) -> None:
+        """Pass on a flow whose sender took this VM for the owner.
+
+        For a moment after a VM joins or leaves, others see other owners.
+        """
+        document = self.store.services.get(envelope.request.service)
+        target = document.upstream(upstream) if document else None
+        owner = self.placer.owner(envelope.request.service, target)
+        if owner is not None and can_visit(owner, envelope):
+            self.relay(envelope, owner.peer_address, upstream=upstream)
+            return
+        failure = RequestFailedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.NO_UPSTREAM,
+        )
+        self.reply(envelope, count_refusal(self, envelope, failure))
+
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
         if not envelope.request.cookie:
@@ -401,6 +405,16 @@
         self.socket.send(encoded, envelope.caller)
 
 
+def can_visit(member: Member, envelope: Envelope) -> bool:
+    """Return True for another VM that has not seen the packet yet.
+
+    Two VMs that take each other for the owner would pass a packet back
+    and forth; its hops show it, and none goes round twice.
+    """
+    visited = member.name in envelope.hops
+    return not visited and len(envelope.hops) < HOP_LIMIT
+
+
 def verify(envelope: Envelope, cookie: Cookie | None) -> Envelope:
     """Mark a request whose cookie was given to the address it comes from."""
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
