--- a/burdocksill/observe/counters.py
+++ b/burdocksill/observe/counters.py
@@ -37,31 +37,48 @@
     )
 
 
+@attrs.define(kw_only=True)
+class LabelledHistogram:
+    """Hold the durations of one name and set of labels."""
+
+    name: str
+    labels: dict[str, str]
+    values: HdrHistogram = attrs.field(factory=make_histogram)
+
+    def add_to(self, metric: Metric) -> None:
+        """Write the quantiles and the count, in seconds."""
+        for quantile in QUANTILES:
+            microseconds = self.values.get_value_at_percentile(
+                quantile * PERCENT,
+            )
+            metric.add_sample(
+                metric.name,
+                {**self.labels, 'quantile': str(quantile)},
+                microseconds / MICROSECONDS,
+            )
+        count = self.values.get_total_count()
+        metric.add_sample(f'{metric.name}_count', self.labels, count)
+
+
 @attrs.define(kw_only=True, eq=False)
 class HistogramCollector(Collector):
     """Show histograms as summaries, one line for each quantile."""
 
-    histograms: dict[str, HdrHistogram]
+    histograms: dict[tuple[object, ...], LabelledHistogram]
 
     def collect(self) -> Iterator[Metric]:
-        """Return one summary for each histogram."""
-        for name, histogram in self.histograms.items():
-            yield summary(name, histogram)
-
-
-def summary(name: str, histogram: HdrHistogram) -> Metric:
-    """Write a histogram as a summary in seconds."""
-    family = f'{PREFIX}{name}_seconds'
-    metric = Metric(family, name.replace('_', ' '), 'summary')
-    for quantile in QUANTILES:
-        microseconds = histogram.get_value_at_percentile(quantile * PERCENT)
-        metric.add_sample(
-            family,
-            {'quantile': str(quantile)},
-            microseconds / MICROSECONDS,
-        )
-    metric.add_sample(f'{family}_count', {}, histogram.get_total_count())
-    return metric
+        """Return one summary for each name."""
+        metrics: dict[str, Metric] = {}
+        for histogram in self.histograms.values():
+            name = histogram.name
+            if name not in metrics:
+                metrics[name] = Metric(
+                    f'{PREFIX}{name}_seconds',
+                    name.replace('_', ' '),
+                    'summary',
+                )
+            histogram.add_to(metrics[name])
+        yield from metrics.values()
 
 
 @attrs.define(kw_only=True)
@@ -71,7 +88,9 @@
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     families: dict[str, Counter] = attrs.field(factory=dict)
     children: dict[tuple[object, ...], Counter] = attrs.field(factory=dict)
-    histograms: dict[str, HdrHistogram] = attrs.field(factory=dict)
+    histograms: dict[tuple[object, ...], LabelledHistogram] = attrs.field(
+        factory=dict,
+    )
 
     def __attrs_post_init__(self) -> None:
         """Let the histograms be rendered with the counters."""
@@ -106,22 +125,24 @@
         found = self.registry.get_sample_value(f'{PREFIX}{name}_total', labels)
         return found or 0
 
-    def record(self, name: str, seconds: float) -> None:
-        """Record a duration in a histogram."""
-        histogram = self.histograms.get(name)
+    def record(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration in the histogram of a name and its labels."""
+        key = (name, *labels.items())
+        histogram = self.histograms.get(key)
         if histogram is None:
-            histogram = make_histogram()
-            self.histograms[name] = histogram
-        histogram.record_value(max(1, int(seconds * MICROSECONDS)))
+            histogram = LabelledHistogram(name=name, labels=labels)
+            self.histograms[key] = histogram
+        microseconds = int(seconds * MICROSECONDS)
+        histogram.values.record_value(max(1, microseconds))
 
     @contextmanager
-    def timed(self, name: str) -> Iterator[None]:
+    def timed(self, name: str, **labels: str) -> Iterator[None]:
         """Record how long the block took, whatever became of it."""
         began = trio.current_time()
         try:
             yield
         finally:
-            self.record(name, trio.current_time() - began)
+            self.record(name, trio.current_time() - began, **labels)
 
     def render(self) -> str:
         """Write all counters in the Prometheus text format."""
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -225,7 +225,11 @@
             return
         with (
             self.progress.one(),
-            self.counters.timed('request'),
+            self.counters.timed(
+                'request',
+                service=self.document.service,
+                upstream=self.upstream.name,
+            ),
         ):
             answer = await self.cancellations.run(
                 key,
--- a/tests/admin/status.feature
+++ b/tests/admin/status.feature
@@ -43,8 +43,8 @@
       | text                                          |
       | burdocksill_answers_total{                    |
       | upstream="ledger-1",verdict="ran"             |
-      | burdocksill_request_seconds{quantile="0.99"}  |
-      | burdocksill_request_seconds_count 3           |
+      | burdocksill_request_seconds{quantile="0.99",service="kiosk-ledger",upstream="ledger-1"} |
+      | burdocksill_request_seconds_count{service="kiosk-ledger",upstream="ledger-1"} 3 |
 
   Scenario: The screen of a large fleet shows what needs a look first
     Then the status screen of 300 VMs, one of them cut off, has at most 80 lines
--- a/tools/observe_cost.py
+++ b/tools/observe_cost.py
@@ -114,7 +114,11 @@
             'counter with four labels, us': best(
                 lambda: counters.add('answers', **labels)
             ),
-            'histogram, us': best(lambda: counters.record('request', 0.004)),
+            'histogram, us': best(
+                lambda: counters.record(
+                    'request', 0.004, service='a', upstream='b'
+                )
+            ),
             'decision of a route, us': best(
                 lambda: log.placed(envelope, 'ledger-1', member)
             ),
