--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -137,6 +137,7 @@
             transfers=self.guards.transfers(self.rng),
             counters=self.counters,
             nursery=nursery,
+            trace_ratio=self.settings.trace_ratio,
         )
         self.builder = UpstreamBuilder(
             network=self.network,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -28,6 +28,8 @@
     WallClock,
 )
 from burdocksill.observe.counters import Counters
+from burdocksill.observe.decisions import DecisionLog
+from burdocksill.observe.tracing import Tracing, current_traceparent
 from burdocksill.ownership.foreign import ForeignRule
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
@@ -74,6 +76,18 @@
     counters: Counters
     nursery: trio.Nursery
     detours: Detours = attrs.field(factory=Detours)
+    trace_ratio: float = 0
+    decisions: DecisionLog = attrs.Factory(
+        lambda router: DecisionLog(clock=router.clock),
+        takes_self=True,
+    )
+    tracing: Tracing = attrs.Factory(
+        lambda router: Tracing(
+            node=router.members.itself.name,
+            ratio=router.trace_ratio,
+        ),
+        takes_self=True,
+    )
 
     async def run(self) -> None:
         """Receive callers' datagrams until cancelled."""
@@ -95,7 +109,8 @@
             hops=(self.members.itself.name,),
             raw=datagram.payload,
         )
-        self.route(envelope)
+        with self.tracing.first_hop('entry'):
+            self.route(envelope)
 
     def refuse_datagram(
         self,
@@ -137,17 +152,18 @@
             raw=message.raw,
             refused=message.refused,
         )
-        if message.upstream:
-            self.enter(envelope, message.upstream)
-        else:
-            self.route(envelope)
+        with self.tracing.next_hop('relayed', message.traceparent):
+            if message.upstream:
+                self.enter(envelope, message.upstream)
+            else:
+                self.route(envelope)
 
     def route(self, envelope: Envelope) -> None:
         """Route a request; every failure is answered at once."""
         try:
             self.route_checked(envelope)
         except RequestFailedError as failure:
-            self.reply(envelope, refusal(failure))
+            self.reply(envelope, count_refusal(self, envelope, failure))
         except BurdocksillError:
             self.counters.add('unroutable')
 
@@ -179,6 +195,11 @@
 
     def go(self, envelope: Envelope, placement: Placement) -> None:
         """Open a flow where it was placed."""
+        self.decisions.placed(
+            envelope,
+            placement.upstream.name,
+            placement.owner,
+        )
         if placement.owner.tag == self.members.itself.tag:
             self.enter(envelope, placement.upstream.name)
             return
@@ -219,10 +240,12 @@
         service = envelope.request.service
         held = self.owners.find(service, cookie.upstream_tag, cookie.epoch)
         if held is not None and held.epochs.find(cookie.epoch) is not None:
+            self.decisions.followed(envelope, cookie, self.members.itself)
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
         holder = self.members.find(cookie.owner_tag)
-        if holder is not None and self.can_visit(holder, envelope):
+        if holder is not None and can_visit(holder, envelope):
+            self.decisions.followed(envelope, cookie, holder)
             self.relay(envelope, holder.peer_address)
             return
         self.follow_to_owner(envelope, cookie)
@@ -235,9 +258,11 @@
         if owner is not None and owner.tag == self.members.itself.tag:
             owned = self.owners.find(document.service, cookie.upstream_tag)
             if owned is not None:
+                self.decisions.followed(envelope, cookie, owner)
                 self.nursery.start_soon(owned.serve, envelope, cookie)
                 return
-        elif owner is not None and self.can_visit(owner, envelope):
+        elif owner is not None and can_visit(owner, envelope):
+            self.decisions.followed(envelope, cookie, owner)
             self.relay(envelope, owner.peer_address)
             return
         elif owner is not None and self.detours.allow(envelope):
@@ -267,15 +292,6 @@
             message='the owner that knew this request is gone',
         )
 
-    def can_visit(self, member: Member, envelope: Envelope) -> bool:
-        """Return True for another VM that has not seen the packet yet.
-
-        Two VMs that take each other for the owner would pass a packet back
-        and forth; its hops show it, and none goes round twice.
-        """
-        visited = member.name in envelope.hops
-        return not visited and len(envelope.hops) < HOP_LIMIT
-
     def enter(self, envelope: Envelope, upstream: str) -> None:
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
@@ -298,14 +314,14 @@
         document = self.store.services.get(envelope.request.service)
         target = document.upstream(upstream) if document else None
         owner = self.placer.owner(envelope.request.service, target)
-        if owner is not None and self.can_visit(owner, envelope):
+        if owner is not None and can_visit(owner, envelope):
             self.relay(envelope, owner.peer_address, upstream=upstream)
             return
         failure = RequestFailedError(
             verdict=Verdict.NOT_RUN,
             reason=Reason.NO_UPSTREAM,
         )
-        self.reply(envelope, refusal(failure))
+        self.reply(envelope, count_refusal(self, envelope, failure))
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -340,6 +356,7 @@
             hops=envelope.hops,
             upstream=upstream,
             refused=envelope.refused,
+            traceparent=current_traceparent(),
         )
         self.channel.send(message, peer)
 
@@ -350,6 +367,7 @@
         back from there, an answer has at most three times the size of its
         request (RFC 7252, section 11.3), so that nobody is flooded by us.
         """
+        self.decisions.answered(envelope, answer)
         encoded = encode_answer(envelope.request, answer)
         most = AMPLIFICATION * len(envelope.raw)
         if not envelope.verified and len(encoded) > most:
@@ -361,8 +379,38 @@
         self.socket.send(encoded, envelope.caller)
 
 
+def can_visit(member: Member, envelope: Envelope) -> bool:
+    """Return True for another VM that has not seen the packet yet.
+
+    Two VMs that take each other for the owner would pass a packet back
+    and forth; its hops show it, and none goes round twice.
+    """
+    visited = member.name in envelope.hops
+    return not visited and len(envelope.hops) < HOP_LIMIT
+
+
 def verify(envelope: Envelope, cookie: Cookie | None) -> Envelope:
     """Mark a request whose cookie was given to the address it comes from."""
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
         return envelope
     return attrs.evolve(envelope, verified=True)
+
+
+def count_refusal(
+    router: Router,
+    envelope: Envelope,
+    failure: RequestFailedError,
+) -> Answer:
+    """Count and return the answer to a request that is not passed on."""
+    answer = refusal(failure)
+    # A caller can write any name of a service into a request; only names
+    # with a document become labels, or a scan would fill the memory.
+    service = envelope.request.service
+    router.counters.add(
+        'answers',
+        service=service if service in router.store.services else '',
+        upstream='',
+        verdict=answer.verdict.value,
+        reason=failure.reason.value,
+    )
+    return answer
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -223,7 +223,14 @@
             # Settled in the same step: no copy can be dispatched any more.
             self.settle(table, key, OVERLOADED)
             return
-        with self.progress.one():
+        with (
+            self.progress.one(),
+            self.counters.timed(
+                'request',
+                service=self.document.service,
+                upstream=self.upstream.name,
+            ),
+        ):
             answer = await self.cancellations.run(
                 key,
                 partial(self.attempt, envelope, cookie),
@@ -412,6 +419,7 @@
         self.counters.add(
             'answers',
             service=self.document.service,
+            upstream=self.upstream.name,
             verdict=answer.verdict.value,
             reason=answer.reason.value if answer.reason else 'none',
         )
--- a/burdocksill/peers/messages.py
+++ b/burdocksill/peers/messages.py
@@ -30,6 +30,8 @@
     hops: tuple[str, ...] = ()
     upstream: str = ''
     refused: bool = False
+    # W3C Trace Context of the hop before, empty when it is not traced.
+    traceparent: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/burdocksill/requests/dispatch.py
+++ b/burdocksill/requests/dispatch.py
@@ -5,10 +5,12 @@
 import attrs
 import trio
 
+from burdocksill.observe.tracing import inner_span
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.mapping import caller_answer, upstream_request
 from burdocksill.requests.messages import Answer, CallerRequest
 from burdocksill.requests.verdict import Reason, Verdict
+from burdocksill.upstreams.messages import UpstreamAnswer
 from burdocksill.upstreams.protocols import Limiter, UpstreamClient
 
 
@@ -44,10 +46,21 @@
         if request.timeout_seconds:
             seconds = min(seconds, request.timeout_seconds)
         deadline = trio.current_time() + seconds
+        with inner_span('upstream'):
+            received = await self.exchange(request, flow_id, deadline)
+        return caller_answer(request, received)
+
+    async def exchange(
+        self,
+        request: CallerRequest,
+        flow_id: bytes,
+        deadline: float,
+    ) -> UpstreamAnswer:
+        """Wait for a slot and exchange the request until its deadline."""
         async with self.limiter.slot(deadline=deadline):
             try:
                 with trio.fail_at(deadline):
-                    received = await self.client.exchange(
+                    return await self.client.exchange(
                         upstream_request(
                             request,
                             flow_id=flow_id,
@@ -60,4 +73,3 @@
                     verdict=Verdict.MAY_HAVE_RUN,
                     reason=Reason.DEADLINE_PASSED,
                 ) from error
-        return caller_answer(request, received)
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -13,6 +13,7 @@
 from burdocksill_lab.commands.prove import prove
 from burdocksill_lab.commands.run import run
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
+from burdocksill_lab.commands.up import up
 
 EXIT_FAILED = 2
 
@@ -31,6 +32,7 @@
 group.add_command(fabric)
 group.add_command(prove)
 group.add_command(run)
+group.add_command(up)
 
 
 def main() -> None:
