--- a/burdocksill/requests/blocks.py
+++ b/burdocksill/requests/blocks.py
@@ -82,12 +82,13 @@
 
 def cut(answer: Answer, wanted: Block) -> Answer:
     """Return one block of a whole answer."""
-    rest = answer.payload[wanted.start :]
+    end = wanted.start + wanted.size
+    size = len(answer.payload)
     return attrs.evolve(
         answer,
-        payload=rest[: wanted.size],
-        block2=attrs.evolve(wanted, more=len(rest) > wanted.size),
-        size2=len(answer.payload),
+        payload=answer.payload[wanted.start : end],
+        block2=attrs.evolve(wanted, more=size > end),
+        size2=size,
     )
 
 
