Let feeds and answers outlast a planned stop and an upstream's leave

Cause: a planned stop did not wait for answers that were being fetched; the heir, which has the epoch, answered for blocks that only the former owner keeps; a feed stayed at a leaving upstream until that ended it. Change: the stop waits for answers asked for within the last 5 s; later blocks go first to the VM that their cookie names; callers are told to open feeds elsewhere as soon as the upstream leaves or the heir has taken over. After: a POST's 2 MB come whole while their owner stops, and it ran once; no feed is left at an upstream 5 s after it said that it leaves.

--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -96,10 +96,15 @@
         """Stop as planned; `run` returns when it is done."""
         await self.guards.stopper().stop(
             leave=self.membership.leave,
-            hand_over=self.owners.stop,
+            hand_over=self.hand_over,
         )
         self.stopped.set()
 
+    async def hand_over(self) -> None:
+        """Give upstreams to their heirs and let answers be fetched."""
+        await self.owners.stop()
+        await self.router.transfers.wait_fetched()
+
     async def start_serving(
         self,
         nursery: trio.Nursery,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -31,7 +31,7 @@
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import Opened
 from burdocksill.peers.messages import RelayRequest
-from burdocksill.requests.blocks import Transfers
+from burdocksill.requests.blocks import Transfers, asks_later_block
 from burdocksill.requests.codec import (
     decode_request,
     encode_answer,
@@ -220,11 +220,15 @@
         """Go to whoever holds the cookie's epoch, as far as can be known."""
         service = envelope.request.service
         held = self.owners.find(service, cookie.upstream_tag, cookie.epoch)
-        if held is not None and held.epochs.find(cookie.epoch) is not None:
+        holder = self.members.find(cookie.owner_tag)
+        visits = holder is not None and self.can_visit(holder, envelope)
+        # The heir has the epoch, and the VM of the cookie the kept answers.
+        keeps = visits and asks_later_block(envelope.request)
+        holds = held is not None and held.epochs.find(cookie.epoch) is not None
+        if held is not None and holds and not keeps:
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
-        holder = self.members.find(cookie.owner_tag)
-        if holder is not None and self.can_visit(holder, envelope):
+        if holder is not None and visits:
             self.relay(envelope, holder.peer_address)
             return
         self.follow_to_owner(envelope, cookie)
--- a/burdocksill/ownership/feeds.py
+++ b/burdocksill/ownership/feeds.py
@@ -1,6 +1,7 @@
 """The open feeds of one upstream, and the task that carries each."""
 
 from collections import deque
+from collections.abc import Callable
 from contextlib import aclosing
 from typing import Final
 
@@ -94,6 +95,8 @@
     clock: WallClock
     counters: Counters
     link: CallerLink
+    # Tells whether the upstream gets no new work.
+    leaving: Callable[[], bool]
     feeds: dict[RequestKey, Feed] = attrs.field(factory=dict)
     message_id: int = 0
 
@@ -112,13 +115,26 @@
             feed.scope.cancel()
         return described
 
-    def end_all(self, reason: Reason) -> None:
-        """Tell every caller to open its feed elsewhere."""
+    def end_all(self, reason: Reason, *, keeps_flow: bool = False) -> None:
+        """Tell every caller to open its feed again, or elsewhere.
+
+        A flow that is kept goes on under its epoch: the heir holds it.
+        """
+        failure = RequestFailedError(verdict=Verdict.RAN, reason=reason)
         for feed in self.feeds.values():
-            failure = RequestFailedError(verdict=Verdict.RAN, reason=reason)
-            self.link.reply(self.next_envelope(feed), refusal(failure))
+            cookie = b''
+            if keeps_flow:
+                caller = feed.envelope.caller
+                cookie = self.cookies.issue(feed.flow_id, caller)
+            answer = refusal(failure, cookie=cookie)
+            self.link.reply(self.next_envelope(feed), answer)
             feed.scope.cancel()
 
+    def move_when_leaving(self) -> None:
+        """Let callers open their feeds elsewhere while these still run."""
+        if self.feeds and self.leaving():
+            self.end_all(Reason.UPSTREAM_LEAVING)
+
     async def serve(self, envelope: Envelope, cookie: Cookie) -> None:
         """Open, keep or end the feed that a request names."""
         request = envelope.request
@@ -129,6 +145,13 @@
         if known is not None:
             self.keep(known, envelope)
             return
+        if self.leaving():
+            # Without a cookie: the caller opens a flow at another upstream.
+            failure = RequestFailedError(
+                verdict=Verdict.NOT_RUN, reason=Reason.UPSTREAM_LEAVING
+            )
+            self.link.reply(envelope, refusal(failure))
+            return
         await self.run(
             Feed(
                 envelope=envelope,
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -95,6 +95,7 @@
         clock=owned.clock,
         counters=owned.counters,
         link=owned.link,
+        leaving=lambda: owned.admission.leaving(owned.upstream),
     )
 
 
@@ -390,6 +391,7 @@
             self.tenure = Tenure.HANDED_OVER
         else:
             self.tenure = Tenure.HEIR_LOST
+        self.feeds.end_all(Reason.STOPPING, keeps_flow=acknowledged)
         waiting = self.waiting
         self.waiting = []
         for envelope in waiting:
--- a/burdocksill/ownership/table.py
+++ b/burdocksill/ownership/table.py
@@ -274,6 +274,7 @@
         for owned in self.everything():
             owned.epochs.forget(now)
             owned.reopen()
+            owned.feeds.move_when_leaving()
         for key, tables in list(self.inherited.items()):
             self.inherited[key] = [
                 table for table in tables if not table.expired(now)
--- a/burdocksill/requests/blocks.py
+++ b/burdocksill/requests/blocks.py
@@ -15,6 +15,10 @@
 # RFC 7252, section 4.8.2 (MAX_TRANSMIT_WAIT): a caller that was silent for
 # longer has given up its repeats.
 IDLE_SECONDS: Final = 93
+# A caller that asks for no block for this long is not waited for.
+FETCHING_SECONDS: Final = 5
+# How often a VM that stops looks whether its answers were fetched.
+LOOK_SECONDS: Final = 0.1
 # One VM keeps at most this much of answers and bodies in transfer.
 KEPT_BYTES: Final = 32 * 1024 * 1024
 # New requests are refused before they run while less than this is free, so
@@ -72,7 +76,7 @@
         """Return a later block; None lets the request run."""
 
     def unfetched(self) -> int:
-        """Return how many answers still wait to be fetched whole."""
+        """Return how many answers are being fetched right now."""
 
 
 def asks_later_block(request: CallerRequest) -> bool:
@@ -166,9 +170,13 @@
         return block
 
     def unfetched(self) -> int:
-        """Return how many answers still wait to be fetched whole."""
-        self.drop_idle()
-        return sum(1 for entry in self.kept.values() if not entry.fetched)
+        """Return how many answers are being fetched right now."""
+        oldest = trio.current_time() - FETCHING_SECONDS
+        return sum(
+            1
+            for entry in self.kept.values()
+            if not entry.fetched and entry.used_at >= oldest
+        )
 
     def make_room(self, size: int) -> None:
         """Drop idle answers, then the oldest of those fetched whole.
@@ -336,6 +344,11 @@
             block1=request.block1,
         )
 
+    async def wait_fetched(self) -> None:
+        """Return when no answer is being fetched; a planned stop waits so."""
+        while self.answers.unfetched():  # noqa: ASYNC110
+            await trio.sleep(LOOK_SECONDS)
+
     def whole_request(
         self, flow_id: bytes, request: CallerRequest
     ) -> CallerRequest:
--- a/tests/requests/feeds.feature
+++ b/tests/requests/feeds.feature
@@ -18,7 +18,7 @@
     When two route feeds are read for 80 seconds while their owner stops
     Then each route feed is in order, whole and its own
 
-  Scenario Outline: The owner gives its feeds away in the middle of a round
+  Scenario Outline: Feeds move away in the middle of a round
     Given a route feed behind three entry VMs
     When two route feeds are read for 50 seconds while their <giving>
     Then each route feed is in order, whole and its own
@@ -27,6 +27,7 @@
       | giving           |
       | owner hands over |
       | owner ends them  |
+      | upstream leaves  |
 
   Scenario: The upstream is lost and another one goes on
     Given a route feed behind three entry VMs
--- a/tests/requests/whole_answers.feature
+++ b/tests/requests/whole_answers.feature
@@ -41,6 +41,12 @@
     When a block-wise caller fetches 400000 bytes while their owner ends
     Then the block-wise answer is whole
 
+  Scenario: The owner stops as planned while a statement is fetched
+    Given a block-wise upstream behind three entry VMs
+    When a block-wise caller posts for 2000000 bytes while their owner stops
+    Then the block-wise answer is whole
+    And the block-wise upstream has run one request
+
   Scenario: A VM full of unfetched answers refuses before a request runs
     Given a block-wise keeper for 10000 bytes
     When block-wise answers of 4000 bytes are kept until one is refused
--- a/tests/steps/requests_blocks.py
+++ b/tests/steps/requests_blocks.py
@@ -113,6 +113,41 @@
     run_seeded(context.seed, story)
 
 
+@when('a block-wise caller posts for {size:d} bytes while their owner stops')
+def fetch_while_stopping(context: Context, size: int) -> None:
+    """Stop the VM that keeps the statement while blocks are fetched."""
+
+    async def stop_owner(world: World) -> None:
+        await trio.sleep(0.3)
+        (name,) = (
+            name
+            for name, running in world.nodes.items()
+            if running.node.router.transfers.answers.unfetched()
+        )
+        await world.stop_node(name)
+
+    async def story() -> None:
+        async with (
+            open_desk(context) as world,
+            world.session(SERVICE) as session,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(stop_owner, world)
+            context.answer = await session.request(
+                'POST', ('statements', f'{size}'), timeout_seconds=30
+            )
+            context.ledger = world.upstreams['desk-1'].ledger
+            context.size = size
+
+    run_seeded(context.seed, story)
+
+
+@then('the block-wise upstream has run one request')
+def check_one_run(context: Context) -> None:
+    """Look into the upstream's ledger."""
+    assert len(context.ledger) == 1
+
+
 @then('the block-wise answer is whole')
 def check_whole(context: Context) -> None:
     """Compare with what one run of the upstream wrote."""
--- a/tests/steps/requests_feeds.py
+++ b/tests/steps/requests_feeds.py
@@ -16,6 +16,7 @@
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.feeds import read_line
 from burdocksill.requests.verdict import Reason
+from burdocksill.upstreams.health import HealthState
 from burdocksill_lab.fakes.clock import VirtualClock
 from burdocksill_lab.fakes.deterministic import run_seeded
 from burdocksill_lab.fakes.world import RunningNode, World, open_world
@@ -133,6 +134,21 @@
         table.end_all(Reason.STOPPING)
 
 
+async def drain_upstream(world: World) -> None:
+    """Let the upstream that writes the feeds say that it leaves."""
+    await trio.sleep(30)
+    _, running = owner(world)
+    leaving = next(
+        upstream.upstream.name
+        for upstream in running.node.owners.owned.values()
+        if upstream.feeds.feeds
+    )
+    world.upstreams[leaving].state = HealthState.DRAINING
+    await trio.sleep(5)
+    left = {table.upstream for table in tables(world) if table.feeds}
+    assert left == set(world.upstreams) - {leaving}, left
+
+
 def read_feeds(context: Context, seconds: float, fault: Fault) -> None:
     """Read two feeds at once while something happens."""
     context.seen = {name: [] for name in NAMES}
@@ -170,6 +186,7 @@
         'owner dies': kill_owner,
         'owner hands over': hand_over,
         'owner ends them': end_feeds,
+        'upstream leaves': drain_upstream,
         'owner stops': stop_owner,
         'upstream is lost': lose_upstream,
     }
