Give up flows of a failure domain that is out, and place them elsewhere

Cause: owners went on dispatching in a domain that operators had taken out, packets with its cookies were still relayed there, and a foreign cookie could be told not-run where no owner was found. Change: owners seal their epochs and close at once, so what is in progress ends with DOMAIN_OUT and the verdict that is proved; other VMs place the flow anew and the new owner answers with a fresh cookie; a flow that comes for an upstream not owned here is placed elsewhere instead of refused.

--- a/burdocksill/documents/store.py
+++ b/burdocksill/documents/store.py
@@ -49,11 +49,37 @@
         return known != offered
 
 
+class DomainRule(Protocol):
+    """Decide what an operator's word on a failure domain means."""
+
+    def is_out(self, record: DomainRecord | None) -> bool:
+        """Return True when no packet may reach the domain."""
+
+
+@attrs.define(kw_only=True)
+class OperatorsDomainRule:
+    """Follow the operators' last word, and serve where there is none."""
+
+    def is_out(self, record: DomainRecord | None) -> bool:
+        """Return True when operators took the domain out."""
+        return record is not None and record.state is DomainState.OUT
+
+
+@attrs.define(kw_only=True)
+class BlindDomainRule:
+    """Pass over every word: the naive baseline of the control runs."""
+
+    def is_out(self, record: DomainRecord | None) -> bool:
+        """Return False always."""
+        return False
+
+
 @attrs.define(kw_only=True)
 class DocumentStore:
     """Hold the records in force and tell listeners of each change."""
 
     rule: RevisionRule = attrs.field(factory=HighestRevisionRule)
+    domain_rule: DomainRule = attrs.field(factory=OperatorsDomainRule)
     records: dict[str, Versioned] = attrs.field(factory=dict)
     services: dict[str, ServiceDocument] = attrs.field(factory=dict)
     domains: dict[str, DomainRecord] = attrs.field(factory=dict)
@@ -100,5 +126,4 @@
 
     def is_out(self, domain: str) -> bool:
         """Return True when operators took the failure domain out."""
-        record = self.domains.get(domain)
-        return record is not None and record.state is DomainState.OUT
+        return self.domain_rule.is_out(self.domains.get(domain))
--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from burdocksill.documents.store import HighestRevisionRule, RevisionRule
+from burdocksill.documents.store import (
+    DomainRule,
+    HighestRevisionRule,
+    OperatorsDomainRule,
+    RevisionRule,
+)
 from burdocksill.entry.stopping import GracefulStopper, Stopper
 from burdocksill.membership.protocols import MemberView
 from burdocksill.ownership.fence import PauseFence
@@ -37,6 +42,7 @@
 
     window: Callable[[], RequestWindow] = TokenWindow
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
+    domain_rule: Callable[[], DomainRule] = OperatorsDomainRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
     foreign: Callable[[], ForeignRule] = HonestForeignRule
     succession: Callable[[], Succession] = RendezvousSuccession
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -66,7 +66,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
-        self.store = DocumentStore(rule=self.guards.revision_rule())
+        self.store = DocumentStore(
+            rule=self.guards.revision_rule(),
+            domain_rule=self.guards.domain_rule(),
+        )
         self.fleet = Fleet(
             settings=self.settings,
             platform=self.platform,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -7,10 +7,11 @@
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.domains import DomainExit
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import Cookie, CookieAge, CookieSealer, name_tag
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import Placer
+from burdocksill.flows.placement import NOTHING_AVOIDED, Placer
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import (
     Address,
@@ -57,6 +58,11 @@
     counters: Counters
     nursery: trio.Nursery
     detours: int = 0
+    exits: DomainExit = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Look at domains in the documents in force."""
+        self.exits = DomainExit(store=self.store)
 
     async def run(self) -> None:
         """Receive callers' datagrams until cancelled."""
@@ -127,9 +133,15 @@
         else:
             self.follow(envelope, cookie)
 
-    def place(self, envelope: Envelope, document: ServiceDocument) -> None:
+    def place(
+        self,
+        envelope: Envelope,
+        document: ServiceDocument,
+        *,
+        avoid: frozenset[str] = NOTHING_AVOIDED,
+    ) -> None:
         """Choose an upstream for a new flow and go to its owner."""
-        placement = self.placer.place(document)
+        placement = self.placer.place(document, avoid=avoid)
         if placement is None:
             raise RequestFailedError(
                 verdict=Verdict.NOT_RUN,
@@ -151,12 +163,29 @@
         if held is not None and held.epochs.find(cookie.epoch) is not None:
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
+        if self.exits.left(service, cookie):
+            self.leave_domain(envelope, cookie)
+            return
         holder = self.members.find(cookie.owner_tag)
         if holder is not None and self.can_visit(holder, envelope):
             self.relay(envelope, holder.peer_address)
             return
         self.follow_to_owner(envelope, cookie)
 
+    def leave_domain(self, envelope: Envelope, cookie: Cookie) -> None:
+        """Give a flow up whose failure domain is out, and place it anew.
+
+        No packet may go there to ask, so only a holder that is this VM itself
+        could say "not run"; the new owner says what can be said, at once, and
+        with a cookie for what comes next.
+        """
+        document = self.store.services[envelope.request.service]
+        self.counters.add('flows_left_domain', service=document.service)
+        if self.placer.place(document) is None:
+            verdict = self.foreign.verdict()
+            raise self.exits.nowhere(document, verdict)
+        self.place(envelope, document)
+
     def follow_to_owner(self, envelope: Envelope, cookie: Cookie) -> None:
         """Go to the upstream's owner of today: it may be the heir."""
         document = self.store.services[envelope.request.service]
@@ -227,6 +256,8 @@
         Two VMs that take each other for the owner would pass a packet back
         and forth; its hops show it, and none goes round twice.
         """
+        if self.store.is_out(member.domain):
+            return False
         visited = member.name in envelope.hops
         return not visited and len(envelope.hops) < HOP_LIMIT
 
@@ -234,18 +265,49 @@
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
+        cookie = self.open_cookie(envelope)
         if owned is None:
-            failure = RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=Reason.NO_UPSTREAM,
-            )
-            self.reply(envelope, refusal(failure))
+            self.enter_elsewhere(envelope, upstream, cookie)
             return
-        cookie = self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
-            self.nursery.start_soon(owned.enter, envelope, cookie)
+            reason = Reason.COOKIE_NEEDED
+            if cookie is not None:
+                reason = self.exits.reason(service, cookie)
+            self.nursery.start_soon(owned.enter, envelope, cookie, reason)
+
+    def enter_elsewhere(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        cookie: Cookie | None,
+    ) -> None:
+        """Place a flow anew that came for an upstream not owned here.
+
+        A failure domain that leaves or returns, or a changed owner, is known
+        to the sender a moment before or after it is known here.
+        """
+        document = self.store.services.get(envelope.request.service)
+        avoid = frozenset((upstream,))
+        few = len(envelope.hops) < HOP_LIMIT
+        if (
+            document is not None
+            and few
+            and self.placer.place(
+                document,
+                avoid=avoid,
+            )
+        ):
+            self.place(envelope, document, avoid=avoid)
+            return
+        # A cookie of a lost owner: that one may have run the request.
+        unknown = self.foreign.verdict()
+        failure = RequestFailedError(
+            verdict=Verdict.NOT_RUN if cookie is None else unknown,
+            reason=Reason.NO_UPSTREAM,
+        )
+        self.reply(envelope, refusal(failure))
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -262,7 +324,8 @@
 
     def reachable(self, member: Member) -> bool:
         """Return True for a member that packets can be relayed to."""
-        return self.members.find(member.tag) is not None
+        known = self.members.find(member.tag) is not None
+        return known and not self.store.is_out(member.domain)
 
     def relay(
         self,
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -77,6 +77,8 @@
     tenure: Tenure = Tenure.TAKING
     ready: trio.Event = attrs.field(factory=trio.Event)
     heir: Member | None = None
+    # Operators took the failure domain out.
+    given_up: bool = False
     waiting: list[Envelope] = attrs.field(factory=list)
     progress: InProgress = attrs.field(factory=InProgress)
     # Called with epoch, key and answer of each request that ends here.
@@ -93,14 +95,19 @@
         self.tenure = Tenure.SERVING
         self.ready.set()
 
-    async def enter(self, envelope: Envelope, cookie: Cookie | None) -> None:
+    async def enter(
+        self,
+        envelope: Envelope,
+        cookie: Cookie | None,
+        reason: Reason = Reason.EPOCH_CLOSED,
+    ) -> None:
         """Take a flow that was placed here, new or from a lost owner."""
         with trio.move_on_after(READY_SECONDS):
             await self.ready.wait()
         if cookie is None:
             self.open_flow(envelope)
         else:
-            await self.serve_foreign(envelope, cookie)
+            await self.serve_foreign(envelope, cookie, reason)
 
     def open_flow(self, envelope: Envelope) -> None:
         """Give a new flow its cookie: nothing was dispatched."""
@@ -204,14 +211,19 @@
     def refuse_sealed(self, envelope: Envelope, cookie: Cookie) -> None:
         """Say "not run" under an epoch that never dispatches again."""
         full = self.epochs.current is None and self.epochs.full
-        failure = RequestFailedError(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.WINDOW_FULL if full else Reason.EPOCH_CLOSED,
-        )
+        reason = Reason.WINDOW_FULL if full else Reason.EPOCH_CLOSED
+        if self.given_up:
+            reason = Reason.DOMAIN_OUT
+        failure = RequestFailedError(verdict=Verdict.NOT_RUN, reason=reason)
         fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
         self.finish(envelope, refusal(failure, cookie=fresh))
 
-    async def serve_foreign(self, envelope: Envelope, cookie: Cookie) -> None:
+    async def serve_foreign(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        reason: Reason = Reason.EPOCH_CLOSED,
+    ) -> None:
         """Serve a request of an epoch that this VM does not hold.
 
         Its holder may have run it, so only a request that may run twice runs
@@ -235,7 +247,7 @@
         else:
             failure = RequestFailedError(
                 verdict=self.foreign.verdict(),
-                reason=Reason.EPOCH_CLOSED,
+                reason=reason,
                 message='the owner that knew this request is gone',
             )
             fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
@@ -250,6 +262,13 @@
             if failure.reason is Reason.OWNER_FENCED:
                 # Another VM may own the upstream by now: start afresh.
                 fresh = b''
+            if self.given_up:
+                # The verdict stays as it was proved; the cookie leads here.
+                fresh = b''
+                failure = RequestFailedError(
+                    verdict=failure.verdict,
+                    reason=Reason.DOMAIN_OUT,
+                )
             return refusal(failure, cookie=fresh)
         return attrs.evolve(answer, cookie=fresh)
 
--- a/burdocksill/ownership/table.py
+++ b/burdocksill/ownership/table.py
@@ -120,6 +120,8 @@
         itself = self.members.itself
         live = self.members.live(itself.domain)
         found: dict[OwnedKey, Wanted] = {}
+        if self.store.is_out(itself.domain):
+            return found
         for document in self.store.services.values():
             for upstream in document.upstreams:
                 if upstream.domain != itself.domain:
@@ -189,6 +191,9 @@
         """Hand an upstream over to its heir, or seal its epochs."""
         owned = self.owned.pop(key)
         self.released.setdefault(key, []).append(owned)
+        if self.store.is_out(owned.upstream.domain):
+            give_up(owned)
+            return
         heir = self.heir_of(owned)
         if heir is None:
             owned.retire()
@@ -274,3 +279,14 @@
             self.released[key] = [
                 upstream for upstream in released if upstream.epochs.tables
             ]
+
+
+def give_up(owned: OwnedUpstream) -> None:
+    """Dispatch nothing more and close the connection at once.
+
+    Operators took the failure domain out: what is in progress is given up
+    with an honest verdict instead of holding the domain.
+    """
+    owned.given_up = True
+    owned.retire()
+    owned.scope.cancel()
