--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -13,9 +13,9 @@
 from burdocksill.entry.fleet import Fleet
 from burdocksill.entry.guards import Guards
 from burdocksill.entry.router import Router
+from burdocksill.entry.upstreams import UpstreamBuilder
 from burdocksill.flows.cookie import EPOCH_BYTES, SignedCookieSealer
 from burdocksill.flows.keys import KeyHolder
-from burdocksill.flows.placement import RandomPlacer
 from burdocksill.membership.swim import SwimMembership
 from burdocksill.network.protocols import Address, Network, WallClock
 from burdocksill.observe.counters import Counters
@@ -36,8 +36,8 @@
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.messages import RelayRequest
 from burdocksill.platform.protocols import Platform
-from burdocksill.requests.dispatch import DeadlineDispatcher
-from burdocksill.upstreams.client import VerifiedClient
+from burdocksill.upstreams.departures import LeavingRule
+from burdocksill.upstreams.hints import HintBook
 
 
 @attrs.define(kw_only=True)
@@ -57,6 +57,9 @@
     membership: SwimMembership = attrs.field(init=False)
     owners: OwnerTable = attrs.field(init=False)
     router: Router = attrs.field(init=False)
+    leaving_rule: LeavingRule = attrs.field(init=False)
+    hints: HintBook = attrs.field(init=False)
+    builder: UpstreamBuilder = attrs.field(init=False)
     fence: Fence = attrs.field(init=False)
     serving: trio.Event = attrs.field(factory=trio.Event)
     stopped: trio.Event = attrs.field(factory=trio.Event)
@@ -81,12 +84,14 @@
             sleep=self.sleep,
             seeds=self.seeds,
         )
+        self.leaving_rule = self.guards.leaving_rule(self.fleet.paced)
         self.membership = self.fleet.membership
 
     async def run(self) -> None:
         """Learn first, then serve until cancelled."""
         async with trio.open_nursery() as nursery:
             channel = await self.fleet.join(self.network, nursery)
+            nursery.start_soon(self.leaving_rule.run)
             await self.start_serving(nursery, channel)
             await self.stopped.wait()
             nursery.cancel_scope.cancel()
@@ -115,14 +120,18 @@
             make_window=self.guards.window,
             succession=self.guards.succession(),
         )
+        self.hints = HintBook(own=self.owners.hints)
+        self.fleet.hints.source = self.hints
+        self.fleet.hints.sink = self.hints
         self.router = Router(
             members=self.membership,
             store=self.store,
             sealer=SignedCookieSealer(keys=self.keys, clock=self.clock),
-            placer=RandomPlacer(
-                members=self.membership,
-                store=self.store,
-                rng=self.rng,
+            placer=self.guards.placer(
+                self.membership,
+                self.store,
+                self.rng,
+                self.hints,
             ),
             owners=self.owners,
             channel=channel,
@@ -132,6 +141,15 @@
             counters=self.counters,
             nursery=nursery,
         )
+        self.builder = UpstreamBuilder(
+            network=self.network,
+            guards=self.guards,
+            members=self.membership,
+            counters=self.counters,
+            rng=self.rng,
+            leaving_rule=self.leaving_rule,
+            elsewhere=self.router.move,
+        )
         self.fence = self.guards.fence(self.membership)
         self.route_messages(channel)
         nursery.start_soon(self.fence.run)
@@ -164,12 +182,7 @@
             make_window=self.guards.window,
             make_epoch=partial(self.rng.randbytes, EPOCH_BYTES),
         )
-        client = VerifiedClient(
-            service=document.service,
-            upstream=upstream,
-            network=self.network,
-            verifier=self.guards.verifier(),
-        )
+        parts = self.builder.build(document, upstream)
         return OwnedUpstream(
             document=document,
             upstream=upstream,
@@ -184,11 +197,9 @@
             ),
             clock=self.clock,
             rng=self.rng,
-            client=client,
-            dispatcher=DeadlineDispatcher(
-                limiter=self.guards.limiter(upstream.slots),
-                client=client,
-            ),
+            client=parts.client,
+            dispatcher=parts.dispatcher,
+            admission=parts.admission,
             counters=self.counters,
             fence=self.fence,
             foreign=self.guards.foreign(),
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,5 +1,6 @@
 """Decide for each caller's datagram which VM serves it."""
 
+import math
 from typing import Final
 
 import attrs
@@ -7,11 +8,11 @@
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
-from burdocksill.entry.domains import DomainExit
+from burdocksill.entry.domains import HOP_LIMIT, DomainExit
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import Cookie, CookieAge, CookieSealer, name_tag
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import NOTHING_AVOIDED, Placer
+from burdocksill.flows.placement import NOTHING_AVOIDED, Placement, Placer
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import (
     Address,
@@ -35,7 +36,8 @@
 from burdocksill.requests.verdict import Reason, Verdict
 
 # Relay, former owner, heir and one more; a longer way is a loop.
-HOP_LIMIT: Final = 4
+# A new flow is passed on at most this far: VMs and upstreams both count.
+LONGEST_PATH: Final = 9
 DETOUR_SECONDS: Final = 0.3
 DETOURS_PER_PACKET: Final = 8
 # Packets on a detour at once; more are answered without one.
@@ -62,7 +64,13 @@
 
     def __attrs_post_init__(self) -> None:
         """Look at domains in the documents in force."""
-        self.exits = DomainExit(store=self.store)
+        self.exits = DomainExit(
+            store=self.store,
+            placer=self.placer,
+            foreign=self.foreign,
+            place=self.place,
+            count=self.counters.add,
+        )
 
     async def run(self) -> None:
         """Receive callers' datagrams until cancelled."""
@@ -102,6 +110,7 @@
             caller=Address(message.caller_host, message.caller_port),
             hops=(*message.hops, self.members.itself.name),
             raw=message.raw,
+            refused=message.refused,
         )
         if message.upstream:
             self.enter(envelope, message.upstream)
@@ -147,7 +156,11 @@
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.NO_UPSTREAM,
             )
-        if placement.owner == self.members.itself:
+        self.go(envelope, placement)
+
+    def go(self, envelope: Envelope, placement: Placement) -> None:
+        """Open a flow where it was placed."""
+        if placement.owner.tag == self.members.itself.tag:
             self.enter(envelope, placement.upstream.name)
             return
         self.relay(
@@ -156,6 +169,32 @@
             upstream=placement.upstream.name,
         )
 
+    def move(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        below: float = math.inf,
+    ) -> bool:
+        """Open a flow at another upstream; return False without one.
+
+        The hops name the upstreams that were tried, and their number ends a
+        search in which every owner names another.
+        """
+        document = self.store.services.get(envelope.request.service)
+        if document is None or len(envelope.hops) >= LONGEST_PATH:
+            return False
+        hops = (*envelope.hops, upstream)
+        placement = self.placer.place(
+            document,
+            avoid=frozenset(hops),
+            below=below,
+        )
+        if placement is None:
+            return False
+        moved = attrs.evolve(envelope, hops=hops, refused=True)
+        self.go(moved, placement)
+        return True
+
     def follow(self, envelope: Envelope, cookie: Cookie) -> None:
         """Go to whoever holds the cookie's epoch, as far as can be known."""
         service = envelope.request.service
@@ -164,7 +203,7 @@
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
         if self.exits.left(service, cookie):
-            self.leave_domain(envelope, cookie)
+            self.exits.leave(envelope)
             return
         holder = self.members.find(cookie.owner_tag)
         if holder is not None and self.can_visit(holder, envelope):
@@ -172,20 +211,6 @@
             return
         self.follow_to_owner(envelope, cookie)
 
-    def leave_domain(self, envelope: Envelope, cookie: Cookie) -> None:
-        """Give a flow up whose failure domain is out, and place it anew.
-
-        No packet may go there to ask, so only a holder that is this VM itself
-        could say "not run"; the new owner says what can be said, at once, and
-        with a cookie for what comes next.
-        """
-        document = self.store.services[envelope.request.service]
-        self.counters.add('flows_left_domain', service=document.service)
-        if self.placer.place(document) is None:
-            verdict = self.foreign.verdict()
-            raise self.exits.nowhere(document, verdict)
-        self.place(envelope, document)
-
     def follow_to_owner(self, envelope: Envelope, cookie: Cookie) -> None:
         """Go to the upstream's owner of today: it may be the heir."""
         document = self.store.services[envelope.request.service]
@@ -265,50 +290,19 @@
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
-        cookie = self.open_cookie(envelope)
+        cookie = None if envelope.refused else self.open_cookie(envelope)
         if owned is None:
-            self.enter_elsewhere(envelope, upstream, cookie)
+            try:
+                self.exits.enter_elsewhere(envelope, upstream, cookie)
+            except RequestFailedError as failure:
+                self.reply(envelope, refusal(failure))
             return
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
-            reason = Reason.COOKIE_NEEDED
-            if cookie is not None:
-                reason = self.exits.reason(service, cookie)
+            reason = self.exits.reason(service, cookie)
             self.nursery.start_soon(owned.enter, envelope, cookie, reason)
 
-    def enter_elsewhere(
-        self,
-        envelope: Envelope,
-        upstream: str,
-        cookie: Cookie | None,
-    ) -> None:
-        """Place a flow anew that came for an upstream not owned here.
-
-        A failure domain that leaves or returns, or a changed owner, is known
-        to the sender a moment before or after it is known here.
-        """
-        document = self.store.services.get(envelope.request.service)
-        avoid = frozenset((upstream,))
-        few = len(envelope.hops) < HOP_LIMIT
-        if (
-            document is not None
-            and few
-            and self.placer.place(
-                document,
-                avoid=avoid,
-            )
-        ):
-            self.place(envelope, document, avoid=avoid)
-            return
-        # A cookie of a lost owner: that one may have run the request.
-        unknown = self.foreign.verdict()
-        failure = RequestFailedError(
-            verdict=Verdict.NOT_RUN if cookie is None else unknown,
-            reason=Reason.NO_UPSTREAM,
-        )
-        self.reply(envelope, refusal(failure))
-
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
         if not envelope.request.cookie:
@@ -342,6 +336,7 @@
             caller_port=envelope.caller.port,
             hops=envelope.hops,
             upstream=upstream,
+            refused=envelope.refused,
         )
         self.channel.send(message, peer)
 
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -35,6 +35,7 @@
     request_digest,
     request_key,
 )
+from burdocksill.upstreams.admission import Admission
 from burdocksill.upstreams.protocols import UpstreamClient
 
 # A new owner waits this long for what the former one hands over.
@@ -43,6 +44,15 @@
 # their callers.
 WAITING_LIMIT: Final = 1000
 
+# After these a flow asks for a new place: another VM may own the upstream by
+# now, or the upstream leaves.
+START_AFRESH: Final = frozenset(
+    (Reason.OWNER_FENCED, Reason.UPSTREAM_LEAVING),
+)
+OVERLOADED: Final = refusal(
+    RequestFailedError(verdict=Verdict.NOT_RUN, reason=Reason.OVERLOADED),
+)
+
 
 class Tenure(enum.StrEnum):
     """Name the phases of owning an upstream."""
@@ -71,6 +81,7 @@
     dispatcher: Dispatcher
     fence: Fence
     foreign: ForeignRule
+    admission: Admission
     counters: Counters
     link: CallerLink
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -114,11 +125,15 @@
         if self.heir is not None:
             self.pass_on(envelope, upstream=self.upstream.name)
             return
-        self.offer_cookie(
-            envelope,
-            self.rng.randbytes(FLOW_ID_BYTES),
-            Reason.COOKIE_NEEDED,
-        )
+        try:
+            if self.admission.open_flow(envelope, self.upstream):
+                return
+        except RequestFailedError as failure:
+            self.finish(envelope, refusal(failure))
+            return
+        flow_id = self.rng.randbytes(FLOW_ID_BYTES)
+        self.admission.flows.open(flow_id, trio.current_time())
+        self.offer_cookie(envelope, flow_id, Reason.COOKIE_NEEDED)
 
     def offer_cookie(
         self,
@@ -164,9 +179,20 @@
         if table.sealed:
             self.refuse_sealed(envelope, cookie)
             return
+        if self.admission.sends_away(envelope, cookie.flow_id, self.upstream):
+            # Settled in the same step: no copy can be dispatched any more.
+            self.settle(table, key, OVERLOADED)
+            return
         with self.progress.one():
             answer = await self.attempt(envelope, cookie)
         self.settle(table, key, answer)
+        if self.admission.moves(
+            envelope,
+            cookie.flow_id,
+            self.upstream,
+            answer,
+        ):
+            return
         self.finish(envelope, answer)
 
     def claim(
@@ -259,8 +285,7 @@
         try:
             answer = await self.dispatch(envelope, cookie)
         except RequestFailedError as failure:
-            if failure.reason is Reason.OWNER_FENCED:
-                # Another VM may own the upstream by now: start afresh.
+            if failure.reason in START_AFRESH:
                 fresh = b''
             if self.given_up:
                 # The verdict stays as it was proved; the cookie leads here.
@@ -280,6 +305,7 @@
                 reason=Reason.COOKIE_EXPIRED,
             )
         self.fence.check()
+        self.admission.use_flow(cookie.flow_id, self.upstream)
         return await self.dispatcher.dispatch(
             envelope.request,
             flow_id=cookie.flow_id,
--- a/burdocksill/ownership/table.py
+++ b/burdocksill/ownership/table.py
@@ -20,6 +20,7 @@
 from burdocksill.ownership.succession import Succession
 from burdocksill.peers.sender import PeerSender
 from burdocksill.requests.window import RequestWindow
+from burdocksill.upstreams.messages import UpstreamHint
 
 # How often a new owner asks the former one for what it holds, and how long.
 ASK_SECONDS: Final = 0.2
@@ -96,6 +97,13 @@
             self.forget()
             await trio.sleep(UPKEEP_SECONDS)
 
+    def hints(self) -> tuple[UpstreamHint, ...]:
+        """Return what others may know of the upstreams owned here."""
+        return tuple(
+            owned.admission.hint(owned.upstream)
+            for owned in self.owned.values()
+        )
+
     def reconcile(self) -> None:
         """Take what has become ours and release what has not."""
         if self.stopping:
--- a/burdocksill/peers/messages.py
+++ b/burdocksill/peers/messages.py
@@ -21,6 +21,7 @@
     """Pass a caller's datagram on to the VM that owns its upstream.
 
     `upstream` is set for a new flow only: the owner has the last word on it.
+    `refused` says that the holder of the request's epoch refused it.
     """
 
     raw: bytes
@@ -28,6 +29,7 @@
     caller_port: int
     hops: tuple[str, ...] = ()
     upstream: str = ''
+    refused: bool = False
 
 
 @attrs.frozen(kw_only=True)
