--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -6,6 +6,7 @@
 from burdocksill_lab.commands.demo import demo
 from burdocksill_lab.commands.measure_upstreams import measure_upstreams
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
+from burdocksill_lab.measure_fleet import measure_fleet
 
 
 @click.group()
@@ -19,3 +20,4 @@
 main.add_command(platform)
 main.add_command(upstream)
 main.add_command(fabric)
+main.add_command(measure_fleet)
