--- a/burdocksill/entry/domains.py
+++ b/burdocksill/entry/domains.py
@@ -9,12 +9,13 @@
 from burdocksill.documents.store import DocumentStore
 from burdocksill.flows.cookie import Cookie
 from burdocksill.flows.placement import NOTHING_AVOIDED, Placer
+from burdocksill.membership.protocols import Member
 from burdocksill.ownership.foreign import ForeignRule
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.messages import Envelope
 from burdocksill.requests.verdict import Reason, Verdict
 
-# A flow that was passed on so often is refused instead.
+# Relay, former owner, heir and one more; a longer way is a loop.
 HOP_LIMIT: Final = 4
 
 
@@ -53,6 +54,17 @@
             return Reason.DOMAIN_OUT
         return Reason.EPOCH_CLOSED
 
+    def can_visit(self, member: Member, envelope: Envelope) -> bool:
+        """Return True for a VM in service that has not seen the packet yet.
+
+        Two VMs that take each other for the owner would pass a packet back
+        and forth; its hops show it, and none goes round twice.
+        """
+        if self.store.is_out(member.domain):
+            return False
+        visited = member.name in envelope.hops
+        return not visited and len(envelope.hops) < HOP_LIMIT
+
     def leave(self, envelope: Envelope) -> None:
         """Give a flow up whose failure domain is out, and place it anew.
 
--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -137,6 +137,7 @@
             socket=await self.network.open_datagrams(self.settings.listen),
             clock=self.clock,
             foreign=self.guards.foreign(),
+            transfers=self.guards.transfers(self.rng),
             counters=self.counters,
             nursery=nursery,
         )
@@ -198,6 +199,7 @@
             rng=self.rng,
             client=parts.client,
             dispatcher=parts.dispatcher,
+            transfers=self.router.transfers,
             admission=parts.admission,
             counters=self.counters,
             fence=self.fence,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -8,9 +8,15 @@
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
-from burdocksill.entry.domains import HOP_LIMIT, DomainExit
+from burdocksill.entry.domains import DomainExit
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.flows.cookie import Cookie, CookieAge, CookieSealer, name_tag
+from burdocksill.flows.cookie import (
+    Cookie,
+    CookieAge,
+    CookieSealer,
+    address_tag,
+    name_tag,
+)
 from burdocksill.flows.exceptions import CookieInvalidError
 from burdocksill.flows.placement import NOTHING_AVOIDED, Placement, Placer
 from burdocksill.membership.protocols import Member, MemberView
@@ -26,16 +32,23 @@
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import Opened
 from burdocksill.peers.messages import RelayRequest
-from burdocksill.requests.codec import decode_request, encode_answer
+from burdocksill.requests.blocks import Transfers
+from burdocksill.requests.codec import (
+    decode_request,
+    encode_answer,
+    encode_short_answer,
+)
 from burdocksill.requests.exceptions import (
     MalformedDatagramError,
     RequestFailedError,
+    UnsupportedRequestError,
 )
 from burdocksill.requests.messages import Answer, Envelope
-from burdocksill.requests.refusals import refusal
+from burdocksill.requests.refusals import BAD_OPTION, refusal, unsupported
+from burdocksill.requests.rejection import is_confirmable, reset_for
 from burdocksill.requests.verdict import Reason, Verdict
 
-# Relay, former owner, heir and one more; a longer way is a loop.
+AMPLIFICATION: Final = 3
 # A new flow is passed on at most this far: VMs and upstreams both count.
 LONGEST_PATH: Final = 9
 DETOUR_SECONDS: Final = 0.3
@@ -57,6 +70,8 @@
     socket: DatagramSocket
     clock: WallClock
     foreign: ForeignRule
+    # The answers and bodies in transfer of every upstream owned here.
+    transfers: Transfers
     counters: Counters
     nursery: trio.Nursery
     detours: int = 0
@@ -83,8 +98,8 @@
         self.counters.add('caller_datagrams')
         try:
             request = decode_request(datagram.payload)
-        except MalformedDatagramError:
-            self.counters.add('malformed_datagrams')
+        except (MalformedDatagramError, UnsupportedRequestError) as error:
+            self.refuse_datagram(datagram, error)
             return
         envelope = Envelope(
             request=request,
@@ -94,6 +109,28 @@
         )
         self.route(envelope)
 
+    def refuse_datagram(
+        self,
+        datagram: Datagram,
+        error: MalformedDatagramError | UnsupportedRequestError,
+    ) -> None:
+        """Count what cannot be served, and answer where CoAP says so."""
+        self.counters.add('malformed_datagrams')
+        confirmable = is_confirmable(datagram.payload)
+        if isinstance(error, UnsupportedRequestError) and (
+            confirmable or error.coap_code != BAD_OPTION
+        ):
+            envelope = Envelope(
+                request=error.request,
+                caller=datagram.peer,
+                raw=datagram.payload,
+            )
+            self.reply(envelope, unsupported(error))
+            return
+        reset = reset_for(datagram.payload)
+        if reset:
+            self.socket.send(reset, datagram.peer)
+
     def take_relayed(self, opened: Opened, peer: Address) -> None:
         """Serve a request that another VM relayed because we own it."""
         message = opened.message
@@ -102,7 +139,7 @@
         self.counters.add('relayed_in')
         try:
             request = decode_request(message.raw)
-        except MalformedDatagramError:
+        except (MalformedDatagramError, UnsupportedRequestError):
             self.counters.add('malformed_datagrams')
             return
         envelope = Envelope(
@@ -140,7 +177,7 @@
         if cookie is None:
             self.place(envelope, document)
         else:
-            self.follow(envelope, cookie)
+            self.follow(verify(envelope, cookie), cookie)
 
     def place(
         self,
@@ -206,7 +243,7 @@
             self.exits.leave(envelope)
             return
         holder = self.members.find(cookie.owner_tag)
-        if holder is not None and self.can_visit(holder, envelope):
+        if holder is not None and self.exits.can_visit(holder, envelope):
             self.relay(envelope, holder.peer_address)
             return
         self.follow_to_owner(envelope, cookie)
@@ -221,7 +258,7 @@
             if owned is not None:
                 self.nursery.start_soon(owned.serve, envelope, cookie)
                 return
-        elif owner is not None and self.can_visit(owner, envelope):
+        elif owner is not None and self.exits.can_visit(owner, envelope):
             self.relay(envelope, owner.peer_address)
             return
         elif owner is not None and self.can_detour(envelope):
@@ -275,17 +312,6 @@
             message='the owner that knew this request is gone',
         )
 
-    def can_visit(self, member: Member, envelope: Envelope) -> bool:
-        """Return True for another VM that has not seen the packet yet.
-
-        Two VMs that take each other for the owner would pass a packet back
-        and forth; its hops show it, and none goes round twice.
-        """
-        if self.store.is_out(member.domain):
-            return False
-        visited = member.name in envelope.hops
-        return not visited and len(envelope.hops) < HOP_LIMIT
-
     def enter(self, envelope: Envelope, upstream: str) -> None:
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
@@ -301,7 +327,8 @@
             owned.open_flow(envelope)
         else:
             reason = self.exits.reason(service, cookie)
-            self.nursery.start_soon(owned.enter, envelope, cookie, reason)
+            checked = verify(envelope, cookie)
+            self.nursery.start_soon(owned.enter, checked, cookie, reason)
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -341,6 +368,25 @@
         self.channel.send(message, peer)
 
     def reply(self, envelope: Envelope, answer: Answer) -> None:
-        """Send an answer straight to the caller."""
+        """Send an answer straight to the caller.
+
+        Anybody can write any address into a datagram. Until a cookie came
+        back from there, an answer has at most three times the size of its
+        request (RFC 7252, section 11.3), so that nobody is flooded by us.
+        """
         encoded = encode_answer(envelope.request, answer)
+        most = AMPLIFICATION * len(envelope.raw)
+        if not envelope.verified and len(encoded) > most:
+            self.counters.add('answers_shortened')
+            encoded = encode_short_answer(envelope.request, answer)
+            if len(encoded) > most:
+                self.counters.add('answers_withheld')
+                return
         self.socket.send(encoded, envelope.caller)
+
+
+def verify(envelope: Envelope, cookie: Cookie | None) -> Envelope:
+    """Mark a request whose cookie was given to the address it comes from."""
+    if cookie is None or cookie.address_tag != address_tag(envelope.caller):
+        return envelope
+    return attrs.evolve(envelope, verified=True)
