--- /dev/null
+++ b/burdocksill/entry/domains.py
@@ -0,0 +1,114 @@
+"""Flows whose failure domain or owner is not where a packet expects it."""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import attrs
+
+from burdocksill.documents.models import ServiceDocument
+from burdocksill.documents.store import DocumentStore
+from burdocksill.flows.cookie import Cookie
+from burdocksill.flows.placement import NOTHING_AVOIDED, Placer
+from burdocksill.membership.protocols import Member
+from burdocksill.ownership.foreign import ForeignRule
+from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.messages import Envelope
+from burdocksill.requests.verdict import Reason, Verdict
+
+# Relay, former owner, heir and one more; a longer way is a loop.
+HOP_LIMIT: Final = 4
+
+
+class PlaceFlow(Protocol):
+    """Place a flow at an upstream and go to its owner."""
+
+    def __call__(
+        self,
+        envelope: Envelope,
+        document: ServiceDocument,
+        *,
+        avoid: frozenset[str] = NOTHING_AVOIDED,
+    ) -> None:
+        """Place the flow outside the upstreams to avoid."""
+
+
+@attrs.define(kw_only=True)
+class DomainExit:
+    """Move flows out of failure domains that operators took out."""
+
+    store: DocumentStore
+    placer: Placer
+    foreign: ForeignRule
+    place: PlaceFlow
+    count: Callable[[str], None]
+
+    def left(self, service: str, cookie: Cookie) -> bool:
+        """Return True when a flow's upstream is in a domain that is out."""
+        document = self.store.services.get(service)
+        upstream = document.tagged(cookie.upstream_tag) if document else None
+        return upstream is not None and self.store.is_out(upstream.domain)
+
+    def reason(self, service: str, cookie: Cookie | None) -> Reason:
+        """Return why the holder of a flow's epoch cannot be asked."""
+        if cookie is not None and self.left(service, cookie):
+            return Reason.DOMAIN_OUT
+        return Reason.EPOCH_CLOSED
+
+    def can_visit(self, member: Member, envelope: Envelope) -> bool:
+        """Return True for a VM in service that has not seen the packet yet.
+
+        Two VMs that take each other for the owner would pass a packet back
+        and forth; its hops show it, and none goes round twice.
+        """
+        if self.store.is_out(member.domain):
+            return False
+        visited = member.name in envelope.hops
+        return not visited and len(envelope.hops) < HOP_LIMIT
+
+    def leave(self, envelope: Envelope) -> None:
+        """Give a flow up whose failure domain is out, and place it anew.
+
+        No packet may go there to ask, so only a holder that is this VM itself
+        could say "not run"; the new owner says what can be said, at once, and
+        with a cookie for what comes next.
+        """
+        document = self.store.services[envelope.request.service]
+        self.count('flows_left_domain')
+        if self.placer.place(document) is None:
+            raise RequestFailedError(
+                verdict=self.foreign.verdict(),
+                reason=Reason.DOMAIN_OUT,
+                message=f'{document.service} runs only in domains out',
+            )
+        self.place(envelope, document)
+
+    def enter_elsewhere(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        cookie: Cookie | None,
+    ) -> None:
+        """Place a flow anew that came for an upstream not owned here.
+
+        A failure domain that leaves or returns, or a changed owner, is known
+        to the sender a moment before or after it is known here.
+        """
+        document = self.store.services.get(envelope.request.service)
+        avoid = frozenset((upstream,))
+        few = len(envelope.hops) < HOP_LIMIT
+        if (
+            document is not None
+            and few
+            and self.placer.place(
+                document,
+                avoid=avoid,
+            )
+        ):
+            self.place(envelope, document, avoid=avoid)
+            return
+        # A cookie of a lost owner: that one may have run the request.
+        unknown = self.foreign.verdict()
+        raise RequestFailedError(
+            verdict=Verdict.NOT_RUN if cookie is None else unknown,
+            reason=Reason.NO_UPSTREAM,
+        )
--- a/burdocksill/entry/guards.py
+++ b/burdocksill/entry/guards.py
@@ -8,7 +8,9 @@
 from burdocksill.documents.models import Upstream
 from burdocksill.documents.store import (
     DocumentStore,
+    DomainRule,
     HighestRevisionRule,
+    OperatorsDomainRule,
     RevisionRule,
 )
 from burdocksill.entry.stopping import GracefulStopper, Stopper
@@ -82,6 +84,7 @@
 
     window: Callable[[], RequestWindow] = TokenWindow
     revision_rule: Callable[[], RevisionRule] = HighestRevisionRule
+    domain_rule: Callable[[], DomainRule] = OperatorsDomainRule
     verifier: Callable[[], IdentityVerifier] = NameVerifier
     foreign: Callable[[], ForeignRule] = HonestForeignRule
     succession: Callable[[], Succession] = RendezvousSuccession
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -10,6 +10,7 @@
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
 from burdocksill.entry.detours import Detours
+from burdocksill.entry.domains import DomainExit
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import (
     Cookie,
@@ -19,7 +20,7 @@
     name_tag,
 )
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import Placement, Placer
+from burdocksill.flows.placement import NOTHING_AVOIDED, Placement, Placer
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import (
     Address,
@@ -51,8 +52,6 @@
 from burdocksill.requests.rejection import is_confirmable, reset_for
 from burdocksill.requests.verdict import Reason, Verdict
 
-# Relay, former owner, heir and one more; a longer way is a loop.
-HOP_LIMIT: Final = 4
 AMPLIFICATION: Final = 3
 # A new flow is passed on at most this far: VMs and upstreams both count.
 LONGEST_PATH: Final = 9
@@ -88,6 +87,17 @@
         ),
         takes_self=True,
     )
+    exits: DomainExit = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Look at domains in the documents in force."""
+        self.exits = DomainExit(
+            store=self.store,
+            placer=self.placer,
+            foreign=self.foreign,
+            place=self.place,
+            count=self.counters.add,
+        )
 
     async def run(self) -> None:
         """Receive callers' datagrams until cancelled."""
@@ -183,9 +193,15 @@
         else:
             self.follow(verify(envelope, cookie), cookie)
 
-    def place(self, envelope: Envelope, document: ServiceDocument) -> None:
+    def place(
+        self,
+        envelope: Envelope,
+        document: ServiceDocument,
+        *,
+        avoid: frozenset[str] = NOTHING_AVOIDED,
+    ) -> None:
         """Choose an upstream for a new flow and go to its owner."""
-        placement = self.placer.place(document)
+        placement = self.placer.place(document, avoid=avoid)
         if placement is None:
             raise RequestFailedError(
                 verdict=Verdict.NOT_RUN,
@@ -240,7 +256,7 @@
         service = envelope.request.service
         held = self.owners.find(service, cookie.upstream_tag, cookie.epoch)
         holder = self.members.find(cookie.owner_tag)
-        visits = holder is not None and can_visit(holder, envelope)
+        visits = holder is not None and self.exits.can_visit(holder, envelope)
         # The heir has the epoch, and the VM of the cookie the kept answers.
         keeps = visits and asks_later_block(envelope.request)
         holds = held is not None and held.epochs.find(cookie.epoch) is not None
@@ -248,6 +264,9 @@
             self.decisions.followed(envelope, cookie, self.members.itself)
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
+        if self.exits.left(service, cookie):
+            self.exits.leave(envelope)
+            return
         if holder is not None and visits:
             self.decisions.followed(envelope, cookie, holder)
             self.relay(envelope, holder.peer_address)
@@ -265,7 +284,7 @@
                 self.decisions.followed(envelope, cookie, owner)
                 self.nursery.start_soon(owned.serve, envelope, cookie)
                 return
-        elif owner is not None and can_visit(owner, envelope):
+        elif owner is not None and self.exits.can_visit(owner, envelope):
             self.decisions.followed(envelope, cookie, owner)
             self.relay(envelope, owner.peer_address)
             return
@@ -300,17 +319,23 @@
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
+        cookie = None if envelope.refused else self.open_cookie(envelope)
         if owned is None:
-            self.pass_to_owner(envelope, upstream)
+            self.pass_to_owner(envelope, upstream, cookie)
             return
-        cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
+            reason = self.exits.reason(service, cookie)
             checked = verify(envelope, cookie)
-            self.nursery.start_soon(owned.enter, checked, cookie)
+            self.nursery.start_soon(owned.enter, checked, cookie, reason)
 
-    def pass_to_owner(self, envelope: Envelope, upstream: str) -> None:
+    def pass_to_owner(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        cookie: Cookie | None,
+    ) -> None:
         """Pass on a flow whose sender took this VM for the owner.
 
         For a moment after a VM joins or leaves, others see other owners.
@@ -318,14 +343,13 @@
         document = self.store.services.get(envelope.request.service)
         target = document.upstream(upstream) if document else None
         owner = self.placer.owner(envelope.request.service, target)
-        if owner is not None and can_visit(owner, envelope):
+        if owner is not None and self.exits.can_visit(owner, envelope):
             self.relay(envelope, owner.peer_address, upstream=upstream)
             return
-        failure = RequestFailedError(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.NO_UPSTREAM,
-        )
-        self.reply(envelope, count_refusal(self, envelope, failure))
+        try:
+            self.exits.enter_elsewhere(envelope, upstream, cookie)
+        except RequestFailedError as failure:
+            self.reply(envelope, count_refusal(self, envelope, failure))
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -342,7 +366,8 @@
 
     def reachable(self, member: Member) -> bool:
         """Return True for a member that packets can be relayed to."""
-        return self.members.find(member.tag) is not None
+        known = self.members.find(member.tag) is not None
+        return known and not self.store.is_out(member.domain)
 
     def relay(
         self,
@@ -383,16 +408,6 @@
         self.socket.send(encoded, envelope.caller)
 
 
-def can_visit(member: Member, envelope: Envelope) -> bool:
-    """Return True for another VM that has not seen the packet yet.
-
-    Two VMs that take each other for the owner would pass a packet back
-    and forth; its hops show it, and none goes round twice.
-    """
-    visited = member.name in envelope.hops
-    return not visited and len(envelope.hops) < HOP_LIMIT
-
-
 def verify(envelope: Envelope, cookie: Cookie | None) -> Envelope:
     """Mark a request whose cookie was given to the address it comes from."""
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
--- a/burdocksill/membership/hints.py
+++ b/burdocksill/membership/hints.py
@@ -23,7 +23,7 @@
 LARGEST: Final = 65535
 AGE_STEP_SECONDS: Final = 0.1
 # An older hint says nothing that placement should still follow.
-OLDEST_STEPS: Final = 100
+OLDEST_STEPS: Final = 30
 KEPT: Final = 4096
 
 
