--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -307,7 +307,18 @@
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
         if owned is None:
-            self.pass_to_owner(envelope, upstream)
+            # For a moment after a VM joins or leaves, others see other owners.
+            document = self.store.services.get(service)
+            target = document.upstream(upstream) if document else None
+            owner = self.placer.owner(service, target)
+            if owner is not None and self.can_visit(owner, envelope):
+                self.relay(envelope, owner.peer_address, upstream=upstream)
+                return
+            failure = RequestFailedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.NO_UPSTREAM,
+            )
+            self.reply(envelope, refusal(failure))
             return
         cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
@@ -316,23 +327,6 @@
             checked = verify(envelope, cookie)
             self.nursery.start_soon(owned.enter, checked, cookie)
 
-    def pass_to_owner(self, envelope: Envelope, upstream: str) -> None:
-        """Pass on a flow whose sender took this VM for the owner.
-
-        For a moment after a VM joins or leaves, others see other owners.
-        """
-        document = self.store.services.get(envelope.request.service)
-        target = document.upstream(upstream) if document else None
-        owner = self.placer.owner(envelope.request.service, target)
-        if owner is not None and self.can_visit(owner, envelope):
-            self.relay(envelope, owner.peer_address, upstream=upstream)
-            return
-        failure = RequestFailedError(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.NO_UPSTREAM,
-        )
-        self.reply(envelope, refusal(failure))
-
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
         if not envelope.request.cookie:
--- a/burdocksill/upstreams/admission.py
+++ b/burdocksill/upstreams/admission.py
@@ -139,14 +139,13 @@
         first = self.members.find(name_tag(envelope.hops[0]))
         return first is not None and first.domain != upstream.domain
 
-    def use_flow(self, flow_id: bytes, upstream: Upstream) -> None:
-        """Count a flow that sends a request; raise where it may not."""
+    def check_leaving(self, upstream: Upstream) -> None:
+        """Raise RequestFailedError (not run) when an upstream leaves."""
         if self.leaving(upstream):
             raise RequestFailedError(
                 verdict=Verdict.NOT_RUN,
                 reason=Reason.UPSTREAM_LEAVING,
             )
-        self.flows.use(flow_id, trio.current_time())
 
     def sends_away(
         self,
@@ -204,7 +203,8 @@
         """
         if answer.verdict is Verdict.RAN:
             self.budget.earn()
-        if not self.may_move(answer):
+            self.flows.use(flow_id, trio.current_time())
+        if not self.may_move(flow_id, answer):
             return False
         if not self.elsewhere(envelope, upstream.name):
             return False
@@ -212,12 +212,17 @@
         self.count('flows_moved', upstream, answer.reason)
         return True
 
-    def may_move(self, answer: Answer) -> bool:
-        """Return True for a refusal that may be tried elsewhere at once."""
+    def may_move(self, flow_id: bytes, answer: Answer) -> bool:
+        """Return True for a refusal that may be tried elsewhere at once.
+
+        Where everything is full, owners would send a flow round and round: a
+        flow that nothing ran for here yet is told when to come back.
+        """
         if answer.verdict is not Verdict.NOT_RUN:
             return False
         if answer.reason in BUDGETED_MOVES:
-            return self.budget.spend()
+            settled = self.flows.settled(flow_id, trio.current_time())
+            return settled and self.budget.spend()
         return answer.reason in FREE_MOVES
 
     def count(
--- a/burdocksill/upstreams/limits.py
+++ b/burdocksill/upstreams/limits.py
@@ -21,8 +21,8 @@
 from burdocksill.upstreams.turns import expected_turns
 from burdocksill.upstreams.unseen import UnseenWork
 
-# The queue is short: a request waits at most for a few rounds of the slots.
-QUEUE_ROUNDS: Final = 4
+# Deadlines bound the queue in time; this bounds it where they are long.
+QUEUE_LENGTH: Final = 32
 # Causes of a cold start that say more than that it is one.
 CONNECTION_LOST: Final = 'connection-lost'
 NEW_INSTANCE: Final = 'new-instance'
@@ -111,15 +111,17 @@
     async def acquire(self, deadline: float) -> float:
         """Take a slot now, queue for one, or refuse at once."""
         now = trio.current_time()
-        if now < self.silent_until:
-            raise self.refusal(Reason.UPSTREAM_COLD, self.silent_until - now)
         if now < self.shed_until:
             raise self.refusal(Reason.UPSTREAM_SHED, self.shed_until - now)
-        if not self.waiting and self.occupied() < self.ramp.limit:
+        if (
+            not self.paused
+            and not self.waiting
+            and self.occupied() < self.ramp.limit
+        ):
             self.running.append(now)
             return now
         give_up_at = deadline - self.latency.fast
-        full = len(self.waiting) >= QUEUE_ROUNDS * self.ramp.limit
+        full = len(self.waiting) >= QUEUE_LENGTH
         turn = next(islice(self.turns(), len(self.waiting), None))
         if full or turn >= give_up_at:
             raise self.refusal(Reason.OVERLOADED)
@@ -132,6 +134,8 @@
             while not waiter.decided.is_set():
                 # A turn can also change when unseen work reaches its end.
                 changes = [waiter.give_up_at, *self.unseen.until()]
+                if trio.current_time() < self.silent_until:
+                    changes.append(self.silent_until)
                 with trio.move_on_at(min(changes)):
                     await waiter.decided.wait()
                 self.admit_waiting()
@@ -150,7 +154,7 @@
     def admit_waiting(self) -> None:
         """Hand free slots to the queue and refuse whose turn is too late."""
         self.drop_hopeless()
-        while self.waiting and self.occupied() < self.ramp.limit:
+        while self.waiting and self.free:
             waiter = self.waiting.popleft()
             waiter.granted_at = trio.current_time()
             self.running.append(waiter.granted_at)
@@ -161,9 +165,10 @@
         kept: deque[Waiter] = deque()
         turns = self.turns()
         turn = next(turns)
+        shed = trio.current_time() < self.shed_until
         for waiter in self.waiting:
-            # While nothing is admitted they can only be tried elsewhere.
-            if turn < waiter.give_up_at and not self.paused:
+            # What an upstream sheds can only be tried elsewhere.
+            if turn < waiter.give_up_at and not shed:
                 kept.append(waiter)
                 turn = next(turns)
             else:
@@ -175,7 +180,7 @@
         seconds = self.latency.fast
         ends = [started + seconds for started in self.running]
         return expected_turns(
-            now=trio.current_time(),
+            now=max(trio.current_time(), self.silent_until),
             ends=[*ends, *self.unseen.until()],
             slots=self.ramp.limit,
             seconds=seconds,
