--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -69,7 +69,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
-        self.store = DocumentStore(rule=self.guards.revision_rule())
+        self.store = DocumentStore(
+            rule=self.guards.revision_rule(),
+            domain_rule=self.guards.domain_rule(),
+        )
         self.fleet = Fleet(
             settings=self.settings,
             platform=self.platform,
@@ -96,10 +99,15 @@
         """Stop as planned; `run` returns when it is done."""
         await self.guards.stopper().stop(
             leave=self.membership.leave,
-            hand_over=self.owners.stop,
+            hand_over=self.hand_over,
         )
         self.stopped.set()
 
+    async def hand_over(self) -> None:
+        """Give upstreams to their heirs and let answers be fetched."""
+        await self.owners.stop()
+        await self.router.transfers.wait_fetched()
+
     async def start_serving(
         self,
         nursery: trio.Nursery,
@@ -137,6 +145,7 @@
             transfers=self.guards.transfers(self.rng),
             counters=self.counters,
             nursery=nursery,
+            trace_ratio=self.settings.trace_ratio,
         )
         self.builder = UpstreamBuilder(
             network=self.network,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,6 +1,7 @@
 """Decide for each caller's datagram which VM serves it."""
 
 import math
+from functools import partial
 from typing import Final
 
 import attrs
@@ -8,6 +9,8 @@
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.detours import Detours
+from burdocksill.entry.domains import DomainExit
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import (
     Cookie,
@@ -17,7 +20,7 @@
     name_tag,
 )
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import Placement, Placer
+from burdocksill.flows.placement import NOTHING_AVOIDED, Placement, Placer
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import (
     Address,
@@ -26,12 +29,14 @@
     WallClock,
 )
 from burdocksill.observe.counters import Counters
+from burdocksill.observe.decisions import DecisionLog
+from burdocksill.observe.tracing import Tracing, current_traceparent
 from burdocksill.ownership.foreign import ForeignRule
 from burdocksill.ownership.table import OwnerTable
 from burdocksill.peers.channel import PeerChannel
 from burdocksill.peers.envelope import Opened
 from burdocksill.peers.messages import RelayRequest
-from burdocksill.requests.blocks import Transfers
+from burdocksill.requests.blocks import Transfers, asks_later_block
 from burdocksill.requests.codec import (
     decode_request,
     encode_answer,
@@ -47,15 +52,9 @@
 from burdocksill.requests.rejection import is_confirmable, reset_for
 from burdocksill.requests.verdict import Reason, Verdict
 
-# Relay, former owner, heir and one more; a longer way is a loop.
-HOP_LIMIT: Final = 4
 AMPLIFICATION: Final = 3
 # A new flow is passed on at most this far: VMs and upstreams both count.
 LONGEST_PATH: Final = 9
-DETOUR_SECONDS: Final = 0.3
-DETOURS_PER_PACKET: Final = 8
-# Packets on a detour at once; more are answered without one.
-DETOUR_LIMIT: Final = 500
 
 
 @attrs.define(kw_only=True)
@@ -75,7 +74,30 @@
     transfers: Transfers
     counters: Counters
     nursery: trio.Nursery
-    detours: int = 0
+    detours: Detours = attrs.field(factory=Detours)
+    trace_ratio: float = 0
+    decisions: DecisionLog = attrs.Factory(
+        lambda router: DecisionLog(clock=router.clock),
+        takes_self=True,
+    )
+    tracing: Tracing = attrs.Factory(
+        lambda router: Tracing(
+            node=router.members.itself.name,
+            ratio=router.trace_ratio,
+        ),
+        takes_self=True,
+    )
+    exits: DomainExit = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Look at domains in the documents in force."""
+        self.exits = DomainExit(
+            store=self.store,
+            placer=self.placer,
+            foreign=self.foreign,
+            place=self.place,
+            count=self.counters.add,
+        )
 
     async def run(self) -> None:
         """Receive callers' datagrams until cancelled."""
@@ -97,7 +119,8 @@
             hops=(self.members.itself.name,),
             raw=datagram.payload,
         )
-        self.route(envelope)
+        with self.tracing.first_hop('entry'):
+            self.route(envelope)
 
     def refuse_datagram(
         self,
@@ -139,17 +162,18 @@
             raw=message.raw,
             refused=message.refused,
         )
-        if message.upstream:
-            self.enter(envelope, message.upstream)
-        else:
-            self.route(envelope)
+        with self.tracing.next_hop('relayed', message.traceparent):
+            if message.upstream:
+                self.enter(envelope, message.upstream)
+            else:
+                self.route(envelope)
 
     def route(self, envelope: Envelope) -> None:
         """Route a request; every failure is answered at once."""
         try:
             self.route_checked(envelope)
         except RequestFailedError as failure:
-            self.reply(envelope, refusal(failure))
+            self.reply(envelope, count_refusal(self, envelope, failure))
         except BurdocksillError:
             self.counters.add('unroutable')
 
@@ -169,9 +193,15 @@
         else:
             self.follow(verify(envelope, cookie), cookie)
 
-    def place(self, envelope: Envelope, document: ServiceDocument) -> None:
+    def place(
+        self,
+        envelope: Envelope,
+        document: ServiceDocument,
+        *,
+        avoid: frozenset[str] = NOTHING_AVOIDED,
+    ) -> None:
         """Choose an upstream for a new flow and go to its owner."""
-        placement = self.placer.place(document)
+        placement = self.placer.place(document, avoid=avoid)
         if placement is None:
             raise RequestFailedError(
                 verdict=Verdict.NOT_RUN,
@@ -181,6 +211,11 @@
 
     def go(self, envelope: Envelope, placement: Placement) -> None:
         """Open a flow where it was placed."""
+        self.decisions.placed(
+            envelope,
+            placement.upstream.name,
+            placement.owner,
+        )
         if placement.owner.tag == self.members.itself.tag:
             self.enter(envelope, placement.upstream.name)
             return
@@ -220,11 +255,20 @@
         """Go to whoever holds the cookie's epoch, as far as can be known."""
         service = envelope.request.service
         held = self.owners.find(service, cookie.upstream_tag, cookie.epoch)
-        if held is not None and held.epochs.find(cookie.epoch) is not None:
+        holder = self.members.find(cookie.owner_tag)
+        visits = holder is not None and self.exits.can_visit(holder, envelope)
+        # The heir has the epoch, and the VM of the cookie the kept answers.
+        keeps = visits and asks_later_block(envelope.request)
+        holds = held is not None and held.epochs.find(cookie.epoch) is not None
+        if held is not None and holds and not keeps:
+            self.decisions.followed(envelope, cookie, self.members.itself)
             self.nursery.start_soon(held.serve, envelope, cookie)
             return
-        holder = self.members.find(cookie.owner_tag)
-        if holder is not None and self.can_visit(holder, envelope):
+        if self.exits.left(service, cookie):
+            self.exits.leave(envelope)
+            return
+        if holder is not None and visits:
+            self.decisions.followed(envelope, cookie, holder)
             self.relay(envelope, holder.peer_address)
             return
         self.follow_to_owner(envelope, cookie)
@@ -237,41 +281,19 @@
         if owner is not None and owner.tag == self.members.itself.tag:
             owned = self.owners.find(document.service, cookie.upstream_tag)
             if owned is not None:
+                self.decisions.followed(envelope, cookie, owner)
                 self.nursery.start_soon(owned.serve, envelope, cookie)
                 return
-        elif owner is not None and self.can_visit(owner, envelope):
+        elif owner is not None and self.exits.can_visit(owner, envelope):
+            self.decisions.followed(envelope, cookie, owner)
             self.relay(envelope, owner.peer_address)
             return
-        elif owner is not None and self.can_detour(envelope):
-            self.nursery.start_soon(self.detour, envelope, cookie)
+        elif owner is not None and self.detours.allow(envelope):
+            detour = partial(self.detours.take, envelope, cookie, self.follow)
+            self.nursery.start_soon(detour)
             return
         self.follow_elsewhere(envelope, cookie, document)
 
-    async def detour(self, envelope: Envelope, cookie: Cookie) -> None:
-        """Route a packet that went in a circle again, a moment later.
-
-        While members join or leave, two VMs can take each other for the
-        owner for a moment. An answer now would call a request lost that its
-        holder still knows, so the packet waits until the views agree.
-        """
-        self.counters.add('detours')
-        self.detours += 1
-        try:
-            await trio.sleep(DETOUR_SECONDS)
-        finally:
-            self.detours -= 1
-        again = attrs.evolve(
-            envelope,
-            hops=(self.members.itself.name,),
-            detours=envelope.detours + 1,
-        )
-        self.follow(again, cookie)
-
-    def can_detour(self, envelope: Envelope) -> bool:
-        """Return True while a packet may wait for the views to agree."""
-        few = envelope.detours < DETOURS_PER_PACKET
-        return few and self.detours < DETOUR_LIMIT
-
     def follow_elsewhere(
         self,
         envelope: Envelope,
@@ -293,39 +315,41 @@
             message='the owner that knew this request is gone',
         )
 
-    def can_visit(self, member: Member, envelope: Envelope) -> bool:
-        """Return True for another VM that has not seen the packet yet.
-
-        Two VMs that take each other for the owner would pass a packet back
-        and forth; its hops show it, and none goes round twice.
-        """
-        visited = member.name in envelope.hops
-        return not visited and len(envelope.hops) < HOP_LIMIT
-
     def enter(self, envelope: Envelope, upstream: str) -> None:
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
+        cookie = None if envelope.refused else self.open_cookie(envelope)
         if owned is None:
-            # For a moment after a VM joins or leaves, others see other owners.
-            document = self.store.services.get(service)
-            target = document.upstream(upstream) if document else None
-            owner = self.placer.owner(service, target)
-            if owner is not None and self.can_visit(owner, envelope):
-                self.relay(envelope, owner.peer_address, upstream=upstream)
-                return
-            failure = RequestFailedError(
-                verdict=Verdict.NOT_RUN,
-                reason=Reason.NO_UPSTREAM,
-            )
-            self.reply(envelope, refusal(failure))
+            self.pass_to_owner(envelope, upstream, cookie)
             return
-        cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
+            reason = self.exits.reason(service, cookie)
             checked = verify(envelope, cookie)
-            self.nursery.start_soon(owned.enter, checked, cookie)
+            self.nursery.start_soon(owned.enter, checked, cookie, reason)
+
+    def pass_to_owner(
+        self,
+        envelope: Envelope,
+        upstream: str,
+        cookie: Cookie | None,
+    ) -> None:
+        """Pass on a flow whose sender took this VM for the owner.
+
+        For a moment after a VM joins or leaves, others see other owners.
+        """
+        document = self.store.services.get(envelope.request.service)
+        target = document.upstream(upstream) if document else None
+        owner = self.placer.owner(envelope.request.service, target)
+        if owner is not None and self.exits.can_visit(owner, envelope):
+            self.relay(envelope, owner.peer_address, upstream=upstream)
+            return
+        try:
+            self.exits.enter_elsewhere(envelope, upstream, cookie)
+        except RequestFailedError as failure:
+            self.reply(envelope, count_refusal(self, envelope, failure))
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -342,7 +366,8 @@
 
     def reachable(self, member: Member) -> bool:
         """Return True for a member that packets can be relayed to."""
-        return self.members.find(member.tag) is not None
+        known = self.members.find(member.tag) is not None
+        return known and not self.store.is_out(member.domain)
 
     def relay(
         self,
@@ -360,6 +385,7 @@
             hops=envelope.hops,
             upstream=upstream,
             refused=envelope.refused,
+            traceparent=current_traceparent(),
         )
         self.channel.send(message, peer)
 
@@ -370,6 +396,7 @@
         back from there, an answer has at most three times the size of its
         request (RFC 7252, section 11.3), so that nobody is flooded by us.
         """
+        self.decisions.answered(envelope, answer)
         encoded = encode_answer(envelope.request, answer)
         most = AMPLIFICATION * len(envelope.raw)
         if not envelope.verified and len(encoded) > most:
@@ -386,3 +413,23 @@
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
         return envelope
     return attrs.evolve(envelope, verified=True)
+
+
+def count_refusal(
+    router: Router,
+    envelope: Envelope,
+    failure: RequestFailedError,
+) -> Answer:
+    """Count and return the answer to a request that is not passed on."""
+    answer = refusal(failure)
+    # A caller can write any name of a service into a request; only names
+    # with a document become labels, or a scan would fill the memory.
+    service = envelope.request.service
+    router.counters.add(
+        'answers',
+        service=service if service in router.store.services else '',
+        upstream='',
+        verdict=answer.verdict.value,
+        reason=failure.reason.value,
+    )
+    return answer
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -95,6 +95,7 @@
         clock=owned.clock,
         counters=owned.counters,
         link=owned.link,
+        leaving=lambda: owned.admission.leaving(owned.upstream),
     )
 
 
@@ -120,6 +121,8 @@
     tenure: Tenure = Tenure.TAKING
     ready: trio.Event = attrs.field(factory=trio.Event)
     heir: Member | None = None
+    # Operators took the failure domain out.
+    given_up: bool = False
     waiting: list[Envelope] = attrs.field(factory=list)
     cancellations: Cancellations = attrs.field(factory=Cancellations)
     progress: InProgress = attrs.field(factory=InProgress)
@@ -143,14 +146,19 @@
         self.tenure = Tenure.SERVING
         self.ready.set()
 
-    async def enter(self, envelope: Envelope, cookie: Cookie | None) -> None:
+    async def enter(
+        self,
+        envelope: Envelope,
+        cookie: Cookie | None,
+        reason: Reason = Reason.EPOCH_CLOSED,
+    ) -> None:
         """Take a flow that was placed here, new or from a lost owner."""
         with trio.move_on_after(READY_SECONDS):
             await self.ready.wait()
         if cookie is None:
             self.open_flow(envelope)
         elif not self.side.answer(envelope, cookie, has_heir=False):
-            await self.serve_foreign(envelope, cookie)
+            await self.serve_foreign(envelope, cookie, reason)
 
     def open_flow(self, envelope: Envelope) -> None:
         """Give a new flow its cookie: nothing was dispatched."""
@@ -223,7 +231,14 @@
             # Settled in the same step: no copy can be dispatched any more.
             self.settle(table, key, OVERLOADED)
             return
-        with self.progress.one():
+        with (
+            self.progress.one(),
+            self.counters.timed(
+                'request',
+                service=self.document.service,
+                upstream=self.upstream.name,
+            ),
+        ):
             answer = await self.cancellations.run(
                 key,
                 partial(self.attempt, envelope, cookie),
@@ -280,14 +295,19 @@
     def refuse_sealed(self, envelope: Envelope, cookie: Cookie) -> None:
         """Say "not run" under an epoch that never dispatches again."""
         full = self.epochs.current is None and self.epochs.full
-        failure = RequestFailedError(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.WINDOW_FULL if full else Reason.EPOCH_CLOSED,
-        )
+        reason = Reason.WINDOW_FULL if full else Reason.EPOCH_CLOSED
+        if self.given_up:
+            reason = Reason.DOMAIN_OUT
+        failure = RequestFailedError(verdict=Verdict.NOT_RUN, reason=reason)
         fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
         self.finish(envelope, refusal(failure, cookie=fresh))
 
-    async def serve_foreign(self, envelope: Envelope, cookie: Cookie) -> None:
+    async def serve_foreign(
+        self,
+        envelope: Envelope,
+        cookie: Cookie,
+        reason: Reason = Reason.EPOCH_CLOSED,
+    ) -> None:
         """Serve a request of an epoch that this VM does not hold.
 
         Its holder may have run it, so only a request that may run twice runs
@@ -311,7 +331,7 @@
         else:
             failure = RequestFailedError(
                 verdict=self.foreign.verdict(),
-                reason=Reason.EPOCH_CLOSED,
+                reason=reason,
                 message='the owner that knew this request is gone',
             )
             fresh = self.cookies.issue(cookie.flow_id, envelope.caller)
@@ -325,6 +345,13 @@
         except RequestFailedError as failure:
             if failure.reason in START_AFRESH:
                 fresh = b''
+            if self.given_up:
+                # The verdict stays as it was proved; the cookie leads here.
+                fresh = b''
+                failure = RequestFailedError(
+                    verdict=failure.verdict,
+                    reason=Reason.DOMAIN_OUT,
+                )
             return refusal(failure, cookie=fresh)
         return attrs.evolve(answer, cookie=fresh)
 
@@ -390,6 +417,7 @@
             self.tenure = Tenure.HANDED_OVER
         else:
             self.tenure = Tenure.HEIR_LOST
+        self.feeds.end_all(Reason.STOPPING, keeps_flow=acknowledged)
         waiting = self.waiting
         self.waiting = []
         for envelope in waiting:
@@ -412,6 +440,7 @@
         self.counters.add(
             'answers',
             service=self.document.service,
+            upstream=self.upstream.name,
             verdict=answer.verdict.value,
             reason=answer.reason.value if answer.reason else 'none',
         )
--- a/burdocksill/ownership/table.py
+++ b/burdocksill/ownership/table.py
@@ -158,6 +158,8 @@
         itself = self.members.itself
         live = self.members.live(itself.domain)
         found: dict[OwnedKey, Wanted] = {}
+        if self.store.is_out(itself.domain):
+            return found
         for document in self.store.services.values():
             for upstream in document.upstreams:
                 if upstream.domain != itself.domain:
@@ -227,6 +229,9 @@
         """Hand an upstream over to its heir, or seal its epochs."""
         owned = self.owned.pop(key)
         self.released.setdefault(key, []).append(owned)
+        if self.store.is_out(owned.upstream.domain):
+            give_up(owned)
+            return
         heir = self.heir_of(owned)
         if heir is None:
             owned.retire()
@@ -304,6 +309,7 @@
         for owned in self.everything():
             owned.epochs.forget(now)
             owned.reopen()
+            owned.feeds.move_when_leaving()
         for key, tables in list(self.inherited.items()):
             self.inherited[key] = [
                 table for table in tables if not table.expired(now)
@@ -312,3 +318,14 @@
             self.released[key] = [
                 upstream for upstream in released if upstream.epochs.tables
             ]
+
+
+def give_up(owned: OwnedUpstream) -> None:
+    """Dispatch nothing more and close the connection at once.
+
+    Operators took the failure domain out: what is in progress is given up
+    with an honest verdict instead of holding the domain.
+    """
+    owned.given_up = True
+    owned.retire()
+    owned.scope.cancel()
