--- a/burdocksill_lab/proofs/upstream_leaving.py
+++ b/burdocksill_lab/proofs/upstream_leaving.py
@@ -52,6 +52,8 @@
             service=SERVICE,
             until=trio.current_time() + WARM_SECONDS + 5 * GAP_SECONDS,
             pause_seconds=PAUSE_SECONDS,
+            # All upstreams are cold: callers come one after the other.
+            begin_seconds=WARM_SECONDS / 2,
         )
         async with trio.open_nursery() as nursery:
             self.work.start(self.world, nursery, CALLERS)
