Repeat refused requests until their own deadline, with a growing pause

Change: what was refused as not run for its cookie is sent anew until the caller's timeout, at once first and then after growing, jittered pauses.

--- a/burdocksill/callers/session.py
+++ b/burdocksill/callers/session.py
@@ -1,5 +1,6 @@
 """A caller's session with one service."""
 
+import itertools
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from random import Random
@@ -30,7 +31,10 @@
 TOKEN_BYTES: Final = 8
 MESSAGE_IDS: Final = 65536
 DEFAULT_TIMEOUT_SECONDS: Final = 10.0
-COOKIE_ATTEMPTS: Final = 4
+# Refused requests that may be sent anew wait up to this long, doubled each
+# time: a fleet that is being changed may send a flow on several times.
+FIRST_PAUSE_SECONDS: Final = 0.02
+LONGEST_PAUSE_SECONDS: Final = 1.0
 # Before a request that is not idempotent, an older cookie is exchanged: its
 # owner may be gone, and nobody could then say that the request was not run.
 FRESH_COOKIE_SECONDS: Final = 60.0
@@ -131,7 +135,7 @@
         """Return the request that was answered and its answer."""
         verdict = Verdict.NOT_RUN
         with trio.move_on_after(request.timeout_seconds):
-            for _ in range(COOKIE_ATTEMPTS):
+            for refusals in itertools.count():
                 await self.freshen_cookie(request)
                 request = self.renew(request)
                 # Nobody dispatches a request that has no cookie.
@@ -140,14 +144,20 @@
                 answer = await self.send_body(request)
                 self.keep_cookie(answer)
                 if not may_repeat(request, answer):
-                    break
-            return request, answer
+                    return request, answer
+                verdict = Verdict.NOT_RUN
+                await trio.sleep(self.pause_seconds(refusals))
         raise CallFailedError(
             verdict=verdict,
             reason=Reason.DEADLINE_PASSED,
             message=f'no answer within {request.timeout_seconds} s',
         )
 
+    def pause_seconds(self, refusals: int) -> float:
+        """Return how long to wait after so many refusals; none at first."""
+        longest = FIRST_PAUSE_SECONDS * refusals * 2 ** min(refusals, 8)
+        return self.rng.uniform(0, min(longest, LONGEST_PAUSE_SECONDS))
+
     async def later_blocks(
         self, request: CallerRequest, first: Answer
     ) -> Answer:
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -89,7 +89,7 @@
         try:
             request = decode_request(datagram.payload)
         except (MalformedDatagramError, UnsupportedRequestError) as error:
-            self.refuse_datagram(datagram, error)
+            refuse_datagram(self, datagram, error)
             return
         envelope = Envelope(
             request=request,
@@ -99,28 +99,6 @@
         )
         self.route(envelope)
 
-    def refuse_datagram(
-        self,
-        datagram: Datagram,
-        error: MalformedDatagramError | UnsupportedRequestError,
-    ) -> None:
-        """Count what cannot be served, and answer where CoAP says so."""
-        self.counters.add('malformed_datagrams')
-        confirmable = is_confirmable(datagram.payload)
-        if isinstance(error, UnsupportedRequestError) and (
-            confirmable or error.coap_code != BAD_OPTION
-        ):
-            envelope = Envelope(
-                request=error.request,
-                caller=datagram.peer,
-                raw=datagram.payload,
-            )
-            self.reply(envelope, unsupported(error))
-            return
-        reset = reset_for(datagram.payload)
-        if reset:
-            self.socket.send(reset, datagram.peer)
-
     def take_relayed(self, opened: Opened, peer: Address) -> None:
         """Serve a request that another VM relayed because we own it."""
         message = opened.message
@@ -396,3 +374,26 @@
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
         return envelope
     return attrs.evolve(envelope, verified=True)
+
+
+def refuse_datagram(
+    router: Router,
+    datagram: Datagram,
+    error: MalformedDatagramError | UnsupportedRequestError,
+) -> None:
+    """Count what cannot be served, and answer where CoAP says so."""
+    router.counters.add('malformed_datagrams')
+    confirmable = is_confirmable(datagram.payload)
+    if isinstance(error, UnsupportedRequestError) and (
+        confirmable or error.coap_code != BAD_OPTION
+    ):
+        envelope = Envelope(
+            request=error.request,
+            caller=datagram.peer,
+            raw=datagram.payload,
+        )
+        router.reply(envelope, unsupported(error))
+        return
+    reset = reset_for(datagram.payload)
+    if reset:
+        router.socket.send(reset, datagram.peer)
