--- a/burdocksill/entry/node.py
+++ b/burdocksill/entry/node.py
@@ -69,7 +69,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Prepare what needs no task."""
-        self.store = DocumentStore(rule=self.guards.revision_rule())
+        self.store = DocumentStore(
+            rule=self.guards.revision_rule(),
+            domain_rule=self.guards.domain_rule(),
+        )
         self.fleet = Fleet(
             settings=self.settings,
             platform=self.platform,
@@ -142,6 +145,7 @@
             transfers=self.guards.transfers(self.rng),
             counters=self.counters,
             nursery=nursery,
+            trace_ratio=self.settings.trace_ratio,
         )
         self.builder = UpstreamBuilder(
             network=self.network,
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -13,6 +13,8 @@
 from burdocksill_lab.commands.prove import prove
 from burdocksill_lab.commands.run import run
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
+from burdocksill_lab.commands.up import up
+from burdocksill_lab.measure_fleet import measure_fleet
 
 EXIT_FAILED = 2
 
@@ -31,6 +33,8 @@
 group.add_command(fabric)
 group.add_command(prove)
 group.add_command(run)
+group.add_command(up)
+group.add_command(measure_fleet)
 
 
 def main() -> None:
