Keep the control of whole answers about mixed blocks

Cause: since upstreams start cold, the control's later blocks were refused before any two runs could mix. Change: the proof's upstreams are warm from the start.

--- a/burdocksill_lab/proofs/whole_answer.py
+++ b/burdocksill_lab/proofs/whole_answer.py
@@ -64,7 +64,11 @@
             ServiceDocument(
                 service=SERVICE,
                 team='vratka',
-                upstreams=tuple(upstreams),
+                # Warm at once: a refusal would hide what the control mixes.
+                upstreams=tuple(
+                    attrs.evolve(upstream, cold_limit=SLOTS)
+                    for upstream in upstreams
+                ),
             ),
         )
         for domain in DOMAINS:
