--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -9,6 +9,7 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill_lab.commands.bench import bench
 from burdocksill_lab.commands.demo import demo
+from burdocksill_lab.commands.measure_upstreams import measure_upstreams
 from burdocksill_lab.commands.prove import prove
 from burdocksill_lab.commands.run import run
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
@@ -29,6 +30,7 @@
 group.add_command(fabric)
 group.add_command(prove)
 group.add_command(run)
+group.add_command(measure_upstreams)
 
 
 def main() -> None:
