Write upstream headers once, and keep changing ones out of HPACK's table

Measured: of an owner's CPU for a request a quarter went into h2's send_headers, and half of that into HPACK: the path, the time left and the flow differ with each request, were added to the dynamic table each time, and every later header was searched through all of it.

Change: these are never indexed, and h2 does not check and normalise again what is written in lower case and in order here. Inbound checks stay as they are. Ruled out: bytes instead of text headers, no difference beyond the noise. What is left is Huffman coding of literals and h2's own state.

--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -8,6 +8,7 @@
 import h2.events
 import h2.exceptions
 import trio
+from hpack import HeaderTuple, NeverIndexedHeaderTuple
 
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
@@ -347,19 +348,23 @@
 def headers(
     request: UpstreamRequest,
     authority: str,
-) -> list[tuple[str, str]]:
-    """Write a request's headers."""
+) -> list[HeaderTuple]:
+    """Write a request's headers.
+
+    What differs with each request stays out of HPACK's table, which is
+    searched for every header and would fill up with entries of no use.
+    """
     headers = [
-        (':method', request.method),
-        (':scheme', 'http'),
-        (':authority', authority),
-        (':path', request.path),
+        HeaderTuple(':method', request.method),
+        HeaderTuple(':scheme', 'http'),
+        HeaderTuple(':authority', authority),
+        NeverIndexedHeaderTuple(':path', request.path),
     ]
     if request.content_type:
-        headers.append(('content-type', request.content_type))
+        headers.append(HeaderTuple('content-type', request.content_type))
     if request.timeout_seconds > 0:
         left = int(request.timeout_seconds * 1000)
-        headers.append((TIMEOUT_HEADER, str(left)))
+        headers.append(NeverIndexedHeaderTuple(TIMEOUT_HEADER, str(left)))
     if request.flow:
-        headers.append((FLOW_HEADER, request.flow))
+        headers.append(NeverIndexedHeaderTuple(FLOW_HEADER, request.flow))
     return headers
--- a/burdocksill/upstreams/goaway.py
+++ b/burdocksill/upstreams/goaway.py
@@ -37,7 +37,13 @@
 
     def __init__(self, *, client_side: bool) -> None:
         """Prepare the protocol's state."""
-        config = h2.config.H2Configuration(client_side=client_side)
+        # Headers are written in lower case and in order (connection.py), so
+        # checking each again would only cost time. What arrives is checked.
+        config = h2.config.H2Configuration(
+            client_side=client_side,
+            validate_outbound_headers=False,
+            normalize_outbound_headers=False,
+        )
         super().__init__(config=config)
         self.state_machine = LenientStateMachine()
 
