--- a/burdocksill/requests/refusals.py
+++ b/burdocksill/requests/refusals.py
@@ -4,7 +4,10 @@
 from types import MappingProxyType
 from typing import Final
 
-from burdocksill.requests.exceptions import RequestFailedError
+from burdocksill.requests.exceptions import (
+    RequestFailedError,
+    UnsupportedRequestError,
+)
 from burdocksill.requests.messages import Answer
 from burdocksill.requests.verdict import Reason, Verdict
 
@@ -24,10 +27,17 @@
         Reason.COOKIE_EXPIRED: 'UNAUTHORIZED',
         Reason.SERVICE_UNKNOWN: 'NOT_FOUND',
         Reason.BAD_REQUEST: 'BAD_REQUEST',
+        Reason.ANSWER_LOST: 'REQUEST_ENTITY_INCOMPLETE',
+        Reason.BODY_INCOMPLETE: 'REQUEST_ENTITY_INCOMPLETE',
+        Reason.ADDRESS_CHANGED: 'UNAUTHORIZED',
+        Reason.FEED_ENDED: 'SERVICE_UNAVAILABLE',
+        Reason.BODY_TOO_LARGE: 'REQUEST_ENTITY_TOO_LARGE',
         Reason.TOKEN_REUSED: 'BAD_REQUEST',
     }
 )
 
+BAD_OPTION: Final = 'BAD_OPTION'
+
 
 def refusal(failure: RequestFailedError, *, cookie: bytes = b'') -> Answer:
     """Write the final answer of a request that failed."""
@@ -40,3 +50,13 @@
         max_age_seconds=failure.retry_after_seconds,
         cookie=cookie,
     )
+
+
+def unsupported(error: UnsupportedRequestError) -> Answer:
+    """Write the answer to a request that CoAP wants refused."""
+    return Answer(
+        code=error.coap_code,
+        verdict=Verdict.NOT_RUN,
+        reason=Reason.BAD_REQUEST,
+        message=error.message,
+    )
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -24,6 +24,7 @@
 
 
 group.add_command(demo)
+group.add_command(measure_upstreams)
 group.add_command(bench)
 group.add_command(platform)
 group.add_command(upstream)
