--- a/burdocksill/upstreams/flows.py
+++ b/burdocksill/upstreams/flows.py
@@ -38,7 +38,7 @@
 
     def settled(self, flow_id: bytes, now: float) -> bool:
         """Return True for a flow that has sent a request here before."""
-        return self.until.get(flow_id, 0) - now > UNUSED_SECONDS
+        return self.used.get(flow_id, 0) - now > UNUSED_SECONDS
 
     def close(self, flow_id: bytes) -> None:
         """Stop counting a flow that was moved elsewhere."""
