--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -10,6 +10,7 @@
 import trio
 from hpack import HeaderTuple, NeverIndexedHeaderTuple
 
+from burdocksill.observe.tracing import TRACEPARENT, current_traceparent
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.upstreams.exceptions import ConnectionSilentError
@@ -420,4 +421,7 @@
     if request.feed_after is not None:
         after = str(request.feed_after)
         headers.append(NeverIndexedHeaderTuple(FEED_AFTER_HEADER, after))
+    traceparent = current_traceparent()
+    if traceparent:
+        headers.append(NeverIndexedHeaderTuple(TRACEPARENT, traceparent))
     return headers
