--- a/tests/steps/upstreams_limits.py
+++ b/tests/steps/upstreams_limits.py
@@ -324,7 +324,7 @@
     """Open flows until one is refused; return how many there are."""
     book = context.book
     while book.admits(0, connections=context.connections, foreign=foreign):
-        book.open(str(len(book.until)).encode(), 0)
+        book.open(str(book.count(0)).encode(), 0)
     count: int = book.count(0)
     return count
 
