--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -261,7 +261,7 @@
         elif owner is not None and self.exits.can_visit(owner, envelope):
             self.relay(envelope, owner.peer_address)
             return
-        elif owner is not None and self.can_detour(envelope):
+        elif owner is not None and may_wait(envelope, self.detours):
             self.nursery.start_soon(self.detour, envelope, cookie)
             return
         self.follow_elsewhere(envelope, cookie, document)
@@ -286,11 +286,6 @@
         )
         self.follow(again, cookie)
 
-    def can_detour(self, envelope: Envelope) -> bool:
-        """Return True while a packet may wait for the views to agree."""
-        few = envelope.detours < DETOURS_PER_PACKET
-        return few and self.detours < DETOUR_LIMIT
-
     def follow_elsewhere(
         self,
         envelope: Envelope,
@@ -316,13 +311,10 @@
         """Take a flow that was placed at an upstream owned here."""
         service = envelope.request.service
         owned = self.owners.find(service, name_tag(upstream))
-        cookie = None if envelope.refused else self.open_cookie(envelope)
         if owned is None:
-            try:
-                self.exits.enter_elsewhere(envelope, upstream, cookie)
-            except RequestFailedError as failure:
-                self.reply(envelope, refusal(failure))
+            self.pass_to_owner(envelope, upstream)
             return
+        cookie = None if envelope.refused else self.open_cookie(envelope)
         if cookie is None and owned.ready.is_set():
             owned.open_flow(envelope)
         else:
@@ -330,6 +322,23 @@
             checked = verify(envelope, cookie)
             self.nursery.start_soon(owned.enter, checked, cookie, reason)
 
+    def pass_to_owner(self, envelope: Envelope, upstream: str) -> None:
+        """Pass on a flow whose sender took this VM for the owner.
+
+        For a moment after a VM joins or leaves, others see other owners.
+        """
+        document = self.store.services.get(envelope.request.service)
+        target = document.upstream(upstream) if document else None
+        owner = self.placer.owner(envelope.request.service, target)
+        if owner is not None and self.exits.can_visit(owner, envelope):
+            self.relay(envelope, owner.peer_address, upstream=upstream)
+            return
+        cookie = None if envelope.refused else self.open_cookie(envelope)
+        try:
+            self.exits.enter_elsewhere(envelope, upstream, cookie)
+        except RequestFailedError as failure:
+            self.reply(envelope, refusal(failure))
+
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
         if not envelope.request.cookie:
@@ -390,3 +399,9 @@
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
         return envelope
     return attrs.evolve(envelope, verified=True)
+
+
+def may_wait(envelope: Envelope, detours: int) -> bool:
+    """Return True while a packet may wait for the views to agree."""
+    few = envelope.detours < DETOURS_PER_PACKET
+    return few and detours < DETOUR_LIMIT
