--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -95,6 +95,7 @@
         clock=owned.clock,
         counters=owned.counters,
         link=owned.link,
+        leaving=lambda: owned.admission.leaving(owned.upstream),
     )
 
 
@@ -230,7 +231,14 @@
             # Settled in the same step: no copy can be dispatched any more.
             self.settle(table, key, OVERLOADED)
             return
-        with self.progress.one():
+        with (
+            self.progress.one(),
+            self.counters.timed(
+                'request',
+                service=self.document.service,
+                upstream=self.upstream.name,
+            ),
+        ):
             answer = await self.cancellations.run(
                 key,
                 partial(self.attempt, envelope, cookie),
@@ -409,6 +417,7 @@
             self.tenure = Tenure.HANDED_OVER
         else:
             self.tenure = Tenure.HEIR_LOST
+        self.feeds.end_all(Reason.STOPPING, keeps_flow=acknowledged)
         waiting = self.waiting
         self.waiting = []
         for envelope in waiting:
@@ -431,6 +440,7 @@
         self.counters.add(
             'answers',
             service=self.document.service,
+            upstream=self.upstream.name,
             verdict=answer.verdict.value,
             reason=answer.reason.value if answer.reason else 'none',
         )
--- a/burdocksill/upstreams/connection.py
+++ b/burdocksill/upstreams/connection.py
@@ -9,6 +9,7 @@
 import h2.exceptions
 import trio
 
+from burdocksill.observe.tracing import TRACEPARENT, current_traceparent
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.upstreams.exceptions import ConnectionSilentError
@@ -414,4 +415,7 @@
         headers.append((FLOW_HEADER, request.flow))
     if request.feed_after is not None:
         headers.append((FEED_AFTER_HEADER, str(request.feed_after)))
+    traceparent = current_traceparent()
+    if traceparent:
+        headers.append((TRACEPARENT, traceparent))
     return headers
