Keep the fault of one request from ending its entry VM

Cause: tasks of requests run in the node's nursery; an error that nobody foresaw, and the last answer of a packet that had gone in a circle (raised in the detour's own task), went up through the nursery and ended the process with all flows it owned. Ruled out: catching in each slice (each new one would have to remember it). Change: requests run in a containment that counts, logs and answers may-have-run at once; a packet after a detour is routed like one that has just come; what the router refuses has a class of its own. Conclusion: a fault stays with its request.

--- a/burdocksill/entry/detours.py
+++ b/burdocksill/entry/detours.py
@@ -6,7 +6,6 @@
 import attrs
 import trio
 
-from burdocksill.flows.cookie import Cookie
 from burdocksill.requests.messages import Envelope
 
 WAIT_SECONDS: Final = 0.3
@@ -34,8 +33,7 @@
     async def take(
         self,
         envelope: Envelope,
-        cookie: Cookie,
-        follow: Callable[[Envelope, Cookie], None],
+        route: Callable[[Envelope], None],
     ) -> None:
         """Wait a moment, then route the packet as if it had just come."""
         self.waiting += 1
@@ -48,4 +46,4 @@
             hops=envelope.hops[-1:],
             detours=envelope.detours + 1,
         )
-        follow(again, cookie)
+        route(again)
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -1,6 +1,6 @@
 """Decide for each caller's datagram which VM serves it."""
 
-import math
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
 
@@ -9,8 +9,10 @@
 
 from burdocksill.documents.models import ServiceDocument
 from burdocksill.documents.store import DocumentStore
+from burdocksill.entry.containment import Containment
 from burdocksill.entry.detours import Detours
 from burdocksill.entry.domains import DomainExit
+from burdocksill.entry.refusing import Refuser
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import (
     Cookie,
@@ -20,7 +22,12 @@
     name_tag,
 )
 from burdocksill.flows.exceptions import CookieInvalidError
-from burdocksill.flows.placement import NOTHING_AVOIDED, Placement, Placer
+from burdocksill.flows.placement import (
+    ANY_LOAD,
+    NOTHING_AVOIDED,
+    Placement,
+    Placer,
+)
 from burdocksill.membership.protocols import Member, MemberView
 from burdocksill.network.protocols import (
     Address,
@@ -48,8 +55,6 @@
     UnsupportedRequestError,
 )
 from burdocksill.requests.messages import Answer, Envelope
-from burdocksill.requests.refusals import BAD_OPTION, refusal, unsupported
-from burdocksill.requests.rejection import is_confirmable, reset_for
 from burdocksill.requests.verdict import Reason, Verdict
 
 AMPLIFICATION: Final = 3
@@ -88,9 +93,21 @@
         takes_self=True,
     )
     exits: DomainExit = attrs.field(init=False)
+    containment: Containment = attrs.field(init=False)
+    refuser: Refuser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Look at domains in the documents in force."""
+        """Prepare what works on this router's own parts."""
+        self.refuser = Refuser(
+            store=self.store,
+            socket=self.socket,
+            counters=self.counters,
+            reply=self.reply,
+        )
+        self.containment = Containment(
+            counters=self.counters,
+            reply=self.reply,
+        )
         self.exits = DomainExit(
             store=self.store,
             placer=self.placer,
@@ -111,7 +128,7 @@
         try:
             request = decode_request(datagram.payload)
         except (MalformedDatagramError, UnsupportedRequestError) as error:
-            refuse_datagram(self, datagram, error)
+            self.refuser.refuse_datagram(datagram, error)
             return
         envelope = Envelope(
             request=request,
@@ -151,7 +168,7 @@
         try:
             self.route_checked(envelope)
         except RequestFailedError as failure:
-            self.reply(envelope, count_refusal(self, envelope, failure))
+            self.refuser.refuse(envelope, failure)
         except BurdocksillError:
             self.counters.add('unroutable')
 
@@ -207,7 +224,7 @@
         self,
         envelope: Envelope,
         upstream: str,
-        below: float = math.inf,
+        below: float = ANY_LOAD,
     ) -> bool:
         """Open a flow at another upstream; return False without one.
 
@@ -240,7 +257,7 @@
         holds = held is not None and held.epochs.find(cookie.epoch) is not None
         if held is not None and holds and not keeps:
             self.decisions.followed(envelope, cookie, self.members.itself)
-            self.nursery.start_soon(held.serve, envelope, cookie)
+            self.spawn(envelope, held.serve, envelope, cookie)
             return
         if self.exits.left(service, cookie):
             self.exits.leave(envelope)
@@ -251,6 +268,19 @@
             return
         self.follow_to_owner(envelope, cookie)
 
+    def spawn(
+        self,
+        envelope: Envelope,
+        task: Callable[..., Awaitable[None]],
+        *arguments: object,
+    ) -> None:
+        """Serve a request in a task whose faults stay with the request."""
+        self.nursery.start_soon(
+            self.containment.run,
+            envelope,
+            partial(task, *arguments),
+        )
+
     def follow_to_owner(self, envelope: Envelope, cookie: Cookie) -> None:
         """Go to the upstream's owner of today: it may be the heir."""
         document = self.store.services[envelope.request.service]
@@ -260,15 +290,14 @@
             owned = self.owners.find(document.service, cookie.upstream_tag)
             if owned is not None:
                 self.decisions.followed(envelope, cookie, owner)
-                self.nursery.start_soon(owned.serve, envelope, cookie)
+                self.spawn(envelope, owned.serve, envelope, cookie)
                 return
         elif owner is not None and self.exits.can_visit(owner, envelope):
             self.decisions.followed(envelope, cookie, owner)
             self.relay(envelope, owner.peer_address)
             return
         elif owner is not None and self.detours.allow(envelope):
-            detour = partial(self.detours.take, envelope, cookie, self.follow)
-            self.nursery.start_soon(detour)
+            self.spawn(envelope, self.detours.take, envelope, self.route)
             return
         self.follow_elsewhere(envelope, cookie, document)
 
@@ -306,7 +335,7 @@
         else:
             reason = self.exits.reason(service, cookie)
             checked = verify(envelope, cookie)
-            self.nursery.start_soon(owned.enter, checked, cookie, reason)
+            self.spawn(envelope, owned.enter, checked, cookie, reason)
 
     def pass_to_owner(
         self,
@@ -327,7 +356,7 @@
         try:
             self.exits.enter_elsewhere(envelope, upstream, cookie)
         except RequestFailedError as failure:
-            self.reply(envelope, count_refusal(self, envelope, failure))
+            self.refuser.refuse(envelope, failure)
 
     def open_cookie(self, envelope: Envelope) -> Cookie | None:
         """Return a request's cookie, None when it has none of ours."""
@@ -391,46 +420,3 @@
     if cookie is None or cookie.address_tag != address_tag(envelope.caller):
         return envelope
     return attrs.evolve(envelope, verified=True)
-
-
-def refuse_datagram(
-    router: Router,
-    datagram: Datagram,
-    error: MalformedDatagramError | UnsupportedRequestError,
-) -> None:
-    """Count what cannot be served, and answer where CoAP says so."""
-    router.counters.add('malformed_datagrams')
-    confirmable = is_confirmable(datagram.payload)
-    if isinstance(error, UnsupportedRequestError) and (
-        confirmable or error.coap_code != BAD_OPTION
-    ):
-        envelope = Envelope(
-            request=error.request,
-            caller=datagram.peer,
-            raw=datagram.payload,
-        )
-        router.reply(envelope, unsupported(error))
-        return
-    reset = reset_for(datagram.payload)
-    if reset:
-        router.socket.send(reset, datagram.peer)
-
-
-def count_refusal(
-    router: Router,
-    envelope: Envelope,
-    failure: RequestFailedError,
-) -> Answer:
-    """Count and return the answer to a request that is not passed on."""
-    answer = refusal(failure)
-    # A caller can write any name of a service into a request; only names
-    # with a document become labels, or a scan would fill the memory.
-    service = envelope.request.service
-    router.counters.add(
-        'answers',
-        service=service if service in router.store.services else '',
-        upstream='',
-        verdict=answer.verdict.value,
-        reason=failure.reason.value,
-    )
-    return answer
--- a/burdocksill/flows/placement.py
+++ b/burdocksill/flows/placement.py
@@ -16,6 +16,8 @@
 # load than the best of our own: near ones are kept while they are no worse.
 SPILL_MARGIN: Final = 0.05
 CHOICES: Final = 2
+# A bound on load that every upstream is below.
+ANY_LOAD: Final = math.inf
 NOTHING_AVOIDED: Final[frozenset[str]] = frozenset()
 
 
@@ -35,7 +37,7 @@
         document: ServiceDocument,
         *,
         avoid: frozenset[str] = NOTHING_AVOIDED,
-        below: float = math.inf,
+        below: float = ANY_LOAD,
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one.
 
@@ -75,7 +77,7 @@
         document: ServiceDocument,
         *,
         avoid: frozenset[str] = NOTHING_AVOIDED,
-        below: float = math.inf,
+        below: float = ANY_LOAD,
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one."""
         self.hints.refresh_own()
@@ -157,7 +159,7 @@
         document: ServiceDocument,
         *,
         avoid: frozenset[str] = NOTHING_AVOIDED,
-        below: float = math.inf,
+        below: float = ANY_LOAD,
     ) -> Placement | None:
         """Return a choice outside the upstreams to avoid, None without one."""
         if math.isfinite(below):
--- a/burdocksill/requests/verdict.py
+++ b/burdocksill/requests/verdict.py
@@ -44,3 +44,4 @@
     OWNER_FENCED = 'owner-fenced'
     WINDOW_FULL = 'window-full'
     TOKEN_REUSED = 'token-reused'
+    INTERNAL_FAULT = 'internal-fault'
