--- a/burdocksill/callers/session.py
+++ b/burdocksill/callers/session.py
@@ -334,10 +334,12 @@
         rng=rng or Random(),
         wants_hops=wants_hops,
     )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(session.run)
-        try:
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.run)
             yield session
-        finally:
             nursery.cancel_scope.cancel()
-            socket.close()
+    finally:
+        # Only now has the receiver ended: a datagram may have woken it in
+        # the same moment, and it would read from a closed socket.
+        socket.close()
