Never call an adopted request not-run, nor one whose owner was lost before

Cause: a VM that takes an idempotent request over from a lost owner said not-run when it had no place for it or refused it, although the lost owner may have run it; and the caller library let a later refusal replace an earlier may-have-run. Change: an adopted request is marked, is not moved on, and its refusal carries what a VM that cannot know may say; the library keeps the doubt. Before: both scenarios of lost_owner.feature failed with not-run. Conclusion: not-run belongs to the holder alone, for every method.

--- a/burdocksill/callers/session.py
+++ b/burdocksill/callers/session.py
@@ -134,6 +134,8 @@
     ) -> tuple[CallerRequest, Answer]:
         """Return the request that was answered and its answer."""
         verdict = Verdict.NOT_RUN
+        # Once an owner was lost with a copy, no later refusal undoes that.
+        least = Verdict.NOT_RUN
         with trio.move_on_after(request.timeout_seconds):
             for refusals in itertools.count():
                 await self.freshen_cookie(request)
@@ -143,9 +145,13 @@
                     verdict = Verdict.MAY_HAVE_RUN
                 answer = await self.send_body(request)
                 self.keep_cookie(answer)
+                if answer.verdict is Verdict.MAY_HAVE_RUN:
+                    least = Verdict.MAY_HAVE_RUN
+                elif answer.verdict is Verdict.NOT_RUN:
+                    answer = attrs.evolve(answer, verdict=least)
                 if not may_repeat(request, answer):
                     return request, answer
-                verdict = Verdict.NOT_RUN
+                verdict = least
                 await trio.sleep(self.pause_seconds(refusals))
         raise CallFailedError(
             verdict=verdict,
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -313,7 +313,11 @@
         run twice goes elsewhere.
         """
         forgotten = cookie.age(self.clock.now()) is CookieAge.FORGOTTEN
-        if forgotten or self.foreign.may_run(envelope.request):
+        if forgotten:
+            self.place(envelope, document)
+            return
+        placed = self.placer.place(document) is not None
+        if placed and self.foreign.may_run(envelope.request):
             self.place(envelope, document)
             return
         raise RequestFailedError(
--- a/burdocksill/ownership/owned.py
+++ b/burdocksill/ownership/owned.py
@@ -32,7 +32,7 @@
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.feeds import is_feed
 from burdocksill.requests.messages import Answer, Envelope
-from burdocksill.requests.refusals import refusal
+from burdocksill.requests.refusals import doubted, refusal
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.requests.window import (
     Claim,
@@ -233,7 +233,11 @@
         if table.sealed:
             self.refuse_sealed(envelope, cookie)
             return
-        if self.admission.sends_away(envelope, cookie.flow_id, self.upstream):
+        if not envelope.adopted and self.admission.sends_away(
+            envelope,
+            cookie.flow_id,
+            self.upstream,
+        ):
             # Settled in the same step: no copy can be dispatched any more.
             self.settle(table, key, OVERLOADED)
             return
@@ -250,7 +254,7 @@
                 partial(self.attempt, envelope, cookie),
             )
         self.settle(table, key, answer)
-        if self.admission.moves(
+        if not envelope.adopted and self.admission.moves(
             envelope,
             cookie.flow_id,
             self.upstream,
@@ -333,7 +337,8 @@
                 epoch=current.epoch,
                 issued=int(self.clock.now()),
             )
-            await self.serve_held(envelope, adopted, current)
+            doubtful = attrs.evolve(envelope, adopted=True)
+            await self.serve_held(doubtful, adopted, current)
         else:
             failure = RequestFailedError(
                 verdict=self.foreign.verdict(),
@@ -443,6 +448,8 @@
 
     def finish(self, envelope: Envelope, answer: Answer) -> None:
         """Count an answer and send it with the hops it took."""
+        if envelope.adopted:
+            answer = doubted(answer, self.foreign.verdict())
         self.counters.add(
             'answers',
             service=self.document.service,
--- a/burdocksill/requests/messages.py
+++ b/burdocksill/requests/messages.py
@@ -101,5 +101,7 @@
     # The cookie shows that the caller receives at the address it sends from.
     verified: bool = False
     refused: bool = False
+    # Another VM held its epoch: it may have run there, whatever is done here.
+    adopted: bool = False
     # How often this VM has routed the packet again.
     detours: int = 0
--- a/burdocksill/requests/refusals.py
+++ b/burdocksill/requests/refusals.py
@@ -4,6 +4,8 @@
 from types import MappingProxyType
 from typing import Final
 
+import attrs
+
 from burdocksill.requests.exceptions import (
     RequestFailedError,
     UnsupportedRequestError,
@@ -39,6 +41,16 @@
 BAD_OPTION: Final = 'BAD_OPTION'
 
 
+def doubted(answer: Answer, verdict: Verdict) -> Answer:
+    """Return a refusal with the verdict of a VM that cannot know."""
+    if answer.verdict is not Verdict.NOT_RUN:
+        return answer
+    code = answer.code
+    if code == VERDICT_CODES[Verdict.NOT_RUN]:
+        code = VERDICT_CODES[verdict]
+    return attrs.evolve(answer, verdict=verdict, code=code)
+
+
 def refusal(failure: RequestFailedError, *, cookie: bytes = b'') -> Answer:
     """Write the final answer of a request that failed."""
     fallback = VERDICT_CODES[failure.verdict]
