Let a flow that was moved before reach the owner of today

Cause: the limit of 4 hops counts VMs and, for a flow that owners send on, the upstreams it tried. While VMs joined, such a flow met a VM that was no owner any more and was refused as no-upstream, although upstreams were free. Ruled out: placement (it never came up empty in the failing run). Change: passing a placed flow on uses the longer limit of moves (9). Conclusion: one bound for loops, another for moves.

--- a/burdocksill/entry/domains.py
+++ b/burdocksill/entry/domains.py
@@ -17,6 +17,8 @@
 
 # Relay, former owner, heir and one more; a longer way is a loop.
 HOP_LIMIT: Final = 4
+# A new flow is passed on at most this far: VMs and upstreams both count.
+LONGEST_PATH: Final = 9
 
 
 class PlaceFlow(Protocol):
@@ -54,7 +56,12 @@
             return Reason.DOMAIN_OUT
         return Reason.EPOCH_CLOSED
 
-    def can_visit(self, member: Member, envelope: Envelope) -> bool:
+    def can_visit(
+        self,
+        member: Member,
+        envelope: Envelope,
+        limit: int = HOP_LIMIT,
+    ) -> bool:
         """Return True for a VM in service that has not seen the packet yet.
 
         Two VMs that take each other for the owner would pass a packet back
@@ -63,7 +70,7 @@
         if self.store.is_out(member.domain):
             return False
         visited = member.name in envelope.hops
-        return not visited and len(envelope.hops) < HOP_LIMIT
+        return not visited and len(envelope.hops) < limit
 
     def leave(self, envelope: Envelope) -> None:
         """Give a flow up whose failure domain is out, and place it anew.
@@ -95,7 +102,7 @@
         """
         document = self.store.services.get(envelope.request.service)
         avoid = frozenset((upstream,))
-        few = len(envelope.hops) < HOP_LIMIT
+        few = len(envelope.hops) < LONGEST_PATH
         if (
             document is not None
             and few
--- a/burdocksill/entry/router.py
+++ b/burdocksill/entry/router.py
@@ -11,7 +11,7 @@
 from burdocksill.documents.store import DocumentStore
 from burdocksill.entry.containment import Containment
 from burdocksill.entry.detours import Detours
-from burdocksill.entry.domains import DomainExit
+from burdocksill.entry.domains import LONGEST_PATH, DomainExit
 from burdocksill.entry.refusing import Refuser
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.flows.cookie import (
@@ -58,8 +58,6 @@
 from burdocksill.requests.verdict import Reason, Verdict
 
 AMPLIFICATION: Final = 3
-# A new flow is passed on at most this far: VMs and upstreams both count.
-LONGEST_PATH: Final = 9
 
 
 @attrs.define(kw_only=True)
@@ -354,7 +352,11 @@
         document = self.store.services.get(envelope.request.service)
         target = document.upstream(upstream) if document else None
         owner = self.placer.owner(envelope.request.service, target)
-        if owner is not None and self.exits.can_visit(owner, envelope):
+        if owner is not None and self.exits.can_visit(
+            owner,
+            envelope,
+            LONGEST_PATH,
+        ):
             self.relay(envelope, owner.peer_address, upstream=upstream)
             return
         try:
