--- a/burdocksill/requests/window.py
+++ b/burdocksill/requests/window.py
@@ -22,6 +22,15 @@
 ANSWER_RETENTION_SECONDS: Final = 60
 DIGEST_BYTES: Final = 4
 
+# One for all: a window holds hundreds of thousands of them.
+DROPPED: Final = Answer(
+    code='BAD_GATEWAY',
+    verdict=Verdict.RAN,
+    reason=Reason.ANSWER_DROPPED,
+    message='the request ran; its answer is no longer kept',
+    max_age_seconds=0,
+)
+
 RequestKey = NewType('RequestKey', bytes)
 
 
@@ -104,15 +113,7 @@
 
 def without_payload(answer: Answer) -> Answer:
     """Return what is remembered of an answer after its retention."""
-    if answer.verdict is not Verdict.RAN:
-        return answer
-    return Answer(
-        code='BAD_GATEWAY',
-        verdict=Verdict.RAN,
-        reason=Reason.ANSWER_DROPPED,
-        message='the request ran; its answer is no longer kept',
-        max_age_seconds=0,
-    )
+    return DROPPED if answer.verdict is Verdict.RAN else answer
 
 
 @attrs.define(kw_only=True)
