--- a/burdocksill_lab/proofs/service_isolation.py
+++ b/burdocksill_lab/proofs/service_isolation.py
@@ -190,7 +190,7 @@
 class ServiceIsolationProof:
     """Bring about swapped cookies, reused ports and reused addresses."""
 
-    promise: str = 'a packet meant for one service never reaches another'
+    promise: str = 'A packet meant for one service never reaches another'
 
     def run(self, *, seed: int, control: bool) -> ProofResult:
         """Run the story; a control trusts whoever answers at an address."""
--- a/burdocksill_lab/proofs/whole_answer.py
+++ b/burdocksill_lab/proofs/whole_answer.py
@@ -170,7 +170,7 @@
 class WholeAnswerProof:
     """Bring about loss, copies, reordering and a VM's end."""
 
-    promise: str = 'a caller receives the whole answer to its own request'
+    promise: str = 'A caller receives the whole answer to its own request'
 
     def run(self, *, seed: int, control: bool) -> ProofResult:
         """Run the story; a control runs a request for each block."""
