End the fleet of the example pages with its scenario

Cause: a process group kills what still runs when its block ends, so the command that holds the examples' fleet died without ending its eight programs; each run of all checks left them behind (40 were found after five runs). Ruled out: the command itself (asked to end, it was gone after 2 s with nothing left). Change: the scenario asks it to end first. Before: 8 programs left after the feature. Conclusion: a program that holds others must be asked, not killed.

--- a/tests/steps/docs_examples.py
+++ b/tests/steps/docs_examples.py
@@ -70,6 +70,8 @@
     context.add_cleanup(stack.close)
     folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
     group = stack.enter_context(process_group(folder))
+    # Asked to end, `up` ends its fleet too; killed, it would leave it behind.
+    stack.callback(group.stop_all)
     play = folder / 'play'
     group.start('up', ['burdocksill-lab', 'up', f'--folder={play}'])
     trio.run(wait_for_line, group, 'up', 'ready')
