Forward packets on the users' platform, thin: routes, placement, following the store

Cause: nothing ran on the new platform. The whole path is one process for each entry VM: header, routes, placement of new flows, passive signs of life, a client for the platform's store, readiness.

Ruled out: a flow table for routing; an open flow's packets name their upstream by the 32 bits of echo.

--- /dev/null
+++ b/burdocksill/network/http.py
@@ -0,0 +1,157 @@
+"""HTTP/1.1 over streams, for the platform's store and the node's own pages."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+import h11
+import trio
+
+from burdocksill.network.protocols import Address, Network
+
+READ_BYTES: Final = 65536
+# A page that a client is slow to ask for or to read is given up after this.
+SERVE_TIMEOUT_SECONDS: Final = 3.0
+AGENT: Final = ('User-Agent', 'burdocksill')
+
+
+@attrs.frozen(kw_only=True)
+class HttpReply:
+    """Hold an answer with its whole body."""
+
+    status: int
+    body: bytes = b''
+    media_type: str = 'text/plain; charset=utf-8'
+
+
+@attrs.define(kw_only=True)
+class HttpConnection:
+    """Exchange one request after the other over one kept connection."""
+
+    network: Network
+    remote: Address
+    stream: trio.abc.Stream | None = None
+    protocol: h11.Connection = attrs.field(init=False)
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+    ) -> HttpReply:
+        """Return the answer; OSError, trio or h11 errors when there is none.
+
+        The caller bounds the time. After any error the connection is closed:
+        a late answer must never be taken for that of the next request.
+        """
+        try:
+            if self.stream is None:
+                self.stream = await self.network.connect(self.remote)
+                self.protocol = h11.Connection(h11.CLIENT)
+            return await self.send(self.stream, method, target, body)
+        except BaseException:
+            await self.close()
+            raise
+
+    async def send(
+        self,
+        stream: trio.abc.Stream,
+        method: str,
+        target: str,
+        body: bytes,
+    ) -> HttpReply:
+        """Send a request and read its whole answer."""
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ('Host', str(self.remote)),
+                AGENT,
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        out = self.protocol.send(request) or b''
+        if body:
+            out += self.protocol.send(h11.Data(data=body)) or b''
+        out += self.protocol.send(h11.EndOfMessage()) or b''
+        await stream.send_all(out)
+        reply = await self.read(stream)
+        if self.protocol.our_state is h11.MUST_CLOSE:
+            await self.close()
+        else:
+            self.protocol.start_next_cycle()
+        return reply
+
+    async def read(self, stream: trio.abc.Stream) -> HttpReply:
+        """Read one whole answer."""
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = await next_event(self.protocol, stream)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpReply(status=status, body=b''.join(parts))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError(f'{self.remote} closed')
+
+    async def close(self) -> None:
+        """Close without waiting; the next exchange connects anew."""
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            await trio.aclose_forcefully(stream)
+
+
+async def next_event(
+    protocol: h11.Connection,
+    stream: trio.abc.Stream,
+) -> object:
+    """Return the next event, reading as often as it takes."""
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        protocol.receive_data(await stream.receive_some(READ_BYTES))
+
+
+Handler = Callable[[str], Awaitable[HttpReply]]
+
+
+async def serve_connection(stream: trio.abc.Stream, handler: Handler) -> None:
+    """Answer one request for a page, then close."""
+    protocol = h11.Connection(h11.SERVER)
+    with trio.move_on_after(SERVE_TIMEOUT_SECONDS):
+        async with stream:
+            try:
+                await answer(protocol, stream, handler)
+            except (h11.ProtocolError, OSError, trio.BrokenResourceError):
+                # The client went away or speaks something else; its next
+                # try is a new connection, and nobody waits for this one.
+                return
+
+
+async def answer(
+    protocol: h11.Connection,
+    stream: trio.abc.Stream,
+    handler: Handler,
+) -> None:
+    """Read one request and send what the handler answers."""
+    request = await next_event(protocol, stream)
+    if not isinstance(request, h11.Request):
+        return
+    reply = await handler(request.target.decode())
+    head = h11.Response(
+        status_code=reply.status,
+        headers=[
+            ('Content-Type', reply.media_type),
+            ('Content-Length', str(len(reply.body))),
+            ('Connection', 'close'),
+        ],
+    )
+    out = protocol.send(head) or b''
+    out += protocol.send(h11.Data(data=reply.body)) or b''
+    out += protocol.send(h11.EndOfMessage()) or b''
+    await stream.send_all(out)
--- /dev/null
+++ b/burdocksill/packets/__init__.py
@@ -0,0 +1,1 @@
+"""The packet path: choose an upstream for each new flow, then follow it."""
--- /dev/null
+++ b/burdocksill/packets/__main__.py
@@ -0,0 +1,5 @@
+"""Run a node with python -m burdocksill.packets."""
+
+from burdocksill.packets.main import main
+
+main()
--- /dev/null
+++ b/burdocksill/packets/decisions.py
@@ -0,0 +1,36 @@
+"""Counters and log lines of what a node decided for packets."""
+
+import logging
+
+import attrs
+
+from burdocksill.packets.header import Packet
+from burdocksill.packets.upstreams import KnownUpstream
+from burdocksill.packets.verdicts import Reason
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True)
+class PacketDecisions:
+    """Write a line for each decision that touches a flow."""
+
+    def decided(
+        self,
+        packet: Packet,
+        reason: Reason,
+        upstream: KnownUpstream | None,
+    ) -> None:
+        """Write down one decision with what decided it."""
+        if not logger.isEnabledFor(logging.INFO):
+            return
+        fields: dict[str, object] = {
+            'flow': packet.flow_id,
+            'repeat': packet.ack if packet.opens else 0,
+        }
+        if upstream is not None:
+            fields['upstream'] = upstream.record.name
+            fields['domain'] = upstream.record.domain
+            fields['flows'] = upstream.flows
+            fields['silent'] = len(upstream.health.silent)
+        logger.info(reason.value, extra=fields)
--- /dev/null
+++ b/burdocksill/packets/flows.py
@@ -0,0 +1,103 @@
+"""What a node has seen of the flows that pass through it.
+
+Nothing here is needed to route: an open flow's packets carry the name of its
+upstream. The table tells how flows fare; it is bounded, and may be lost.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from burdocksill.packets.header import FIN, RST, Packet, advanced
+from burdocksill.packets.upstreams import KnownUpstream
+
+FlowKey = tuple[int, int, int, int]
+
+# About 400 bytes each: at this bound the table stays below 4 MB.
+FLOWS_KEPT: Final = 8192
+
+
+@attrs.define(kw_only=True)
+class SeenFlow:
+    """Hold the last state of a flow that its client's packets showed."""
+
+    upstream: KnownUpstream
+    seen_at: float
+    ack: int = 0
+    seq: int = -1
+    # When the data was first sent that is not acknowledged yet; 0 without.
+    waiting_since: float = 0
+    open: bool = False
+
+
+@attrs.define(kw_only=True)
+class FlowTable:
+    """Keep the flows seen last, the oldest first."""
+
+    limit: int = FLOWS_KEPT
+    flows: dict[FlowKey, SeenFlow] = attrs.field(factory=dict)
+
+    def find(self, key: FlowKey) -> SeenFlow | None:
+        """Return what is known of a flow."""
+        return self.flows.get(key)
+
+    def start(
+        self,
+        key: FlowKey,
+        upstream: KnownUpstream,
+        now: float,
+    ) -> SeenFlow:
+        """Begin to follow a flow on an upstream."""
+        self.end(key)
+        if len(self.flows) >= self.limit:
+            self.end(next(iter(self.flows)))
+        flow = SeenFlow(upstream=upstream, seen_at=now)
+        self.flows[key] = flow
+        upstream.flows += 1
+        return flow
+
+    def end(self, key: FlowKey) -> None:
+        """Stop following a flow."""
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            flow.upstream.flows -= 1
+            flow.upstream.health.silent.pop(key, None)
+
+    def idle(self, before: float) -> Iterator[FlowKey]:
+        """Return the flows that were last seen before a time."""
+        for key, flow in self.flows.items():
+            if flow.seen_at < before:
+                yield key
+
+    def follow(self, packet: Packet, flow: SeenFlow, now: float) -> None:
+        """Learn from a packet of an open flow how its upstream fares."""
+        flow.seen_at = now
+        key = packet.flow
+        if not flow.open or advanced(packet.ack, flow.ack):
+            self.answered(flow, packet, now)
+        if packet.length:
+            self.sent(key, flow, packet, now)
+        if packet.flags & (FIN | RST):
+            self.end(key)
+
+    def answered(self, flow: SeenFlow, packet: Packet, now: float) -> None:
+        """Take note that the upstream has sent something new."""
+        flow.open = True
+        flow.ack = packet.ack
+        flow.waiting_since = 0
+        flow.upstream.health.heard(now)
+
+    def sent(
+        self,
+        key: FlowKey,
+        flow: SeenFlow,
+        packet: Packet,
+        now: float,
+    ) -> None:
+        """Take note of data, new or sent again."""
+        if packet.seq != flow.seq:
+            flow.seq = packet.seq
+            flow.waiting_since = flow.waiting_since or now
+        elif flow.waiting_since:
+            flow.upstream.health.unanswered(key, flow.waiting_since)
--- /dev/null
+++ b/burdocksill/packets/forwarder.py
@@ -0,0 +1,170 @@
+"""Decide what becomes of each packet of a client."""
+
+from typing import Final, Protocol
+
+import attrs
+
+from burdocksill.packets.flows import FlowTable, SeenFlow
+from burdocksill.packets.header import (
+    TAG,
+    Packet,
+    dotted,
+    parse,
+    reset_of,
+    with_echo,
+)
+from burdocksill.packets.placement import PacketPlacer
+from burdocksill.packets.routing import RoutingTable
+from burdocksill.packets.upstreams import (
+    KnownUpstream,
+    Presence,
+    Upstreams,
+)
+from burdocksill.packets.verdicts import Drop, Forward, Reason, Reset, Verdict
+
+# A node that has read the routes within this time may say that there is none.
+# Half of the shortest bound on a change (3 s) that users have named.
+FRESH_SECONDS: Final = 1.5
+# A client repeats its opening after 0.2 s; anything sooner is a datagram that
+# the network has doubled.
+REPEAT_SECONDS: Final = 0.15
+
+
+class Freshness(Protocol):
+    """Tell how old a node's knowledge is."""
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the routes were known to be current."""
+
+
+class DecisionLog(Protocol):
+    """Keep the decisions that touch a flow."""
+
+    def decided(
+        self,
+        packet: Packet,
+        reason: Reason,
+        upstream: KnownUpstream | None,
+    ) -> None:
+        """Write down one decision."""
+
+
+@attrs.define(kw_only=True)
+class Forwarder:
+    """Route packets by what they carry, and new flows by placement.
+
+    A reset is sent only where it is certain that a flow is lost or that no
+    upstream may serve it; what a node does not know proves nothing.
+    """
+
+    client_port: int
+    table: RoutingTable
+    upstreams: Upstreams
+    placer: PacketPlacer
+    freshness: Freshness
+    log: DecisionLog
+    flows: FlowTable = attrs.field(factory=FlowTable)
+
+    def decide(self, payload: bytes, now: float) -> Verdict:
+        """Return what to do with a datagram that a client sent."""
+        packet = parse(payload)
+        if packet is None:
+            return Drop(Reason.MALFORMED)
+        if packet.opens:
+            return self.open(packet, payload, now)
+        return self.carry_on(packet, payload, now)
+
+    def open(self, packet: Packet, payload: bytes, now: float) -> Verdict:
+        """Place a new flow, or a repeat of its opening somewhere else."""
+        route = self.table.find((packet.address, packet.port))
+        if route is None:
+            return self.without_route(packet, now)
+        seen = self.flows.find(packet.flow)
+        avoid = frozenset[str]()
+        reason = Reason.OPENED
+        if seen is not None and packet.ack:
+            avoid = self.missed(seen, now)
+            reason = Reason.OPENED_ELSEWHERE
+        elif seen is not None and now - seen.seen_at < REPEAT_SECONDS:
+            return self.forward(payload, seen.upstream, Reason.OPENED)
+        chosen = self.placer.place(route, now, avoid)
+        if chosen is None:
+            return self.refuse(packet, Reason.NO_UPSTREAM, now)
+        self.flows.start(packet.flow, chosen, now)
+        self.log.decided(packet, reason, chosen)
+        return self.forward(with_echo(payload, chosen.echo), chosen, reason)
+
+    def missed(self, seen: SeenFlow, now: float) -> frozenset[str]:
+        """Hold an unanswered opening against its upstream."""
+        upstream = seen.upstream
+        upstream.health.missed(now, seen.seen_at)
+        return frozenset((upstream.record.name,))
+
+    def without_route(self, packet: Packet, now: float) -> Verdict:
+        """End or drop an opening for an address that has no route."""
+        if not self.table.version:
+            return Drop(Reason.NOT_READY)
+        return self.refuse(packet, Reason.NO_ROUTE, now)
+
+    def refuse(self, packet: Packet, reason: Reason, now: float) -> Verdict:
+        """Refuse an opening at once if what says so is fresh."""
+        if self.freshness.age(now) > FRESH_SECONDS:
+            return Drop(reason)
+        return self.reset(packet, reason)
+
+    def carry_on(self, packet: Packet, payload: bytes, now: float) -> Verdict:
+        """Send a packet of an open flow to the upstream that it names."""
+        if self.table.was_removed((packet.address, packet.port)):
+            return self.reset(packet, Reason.ROUTE_REMOVED)
+        upstream = self.upstreams.by_echo.get(packet.echo)
+        if upstream is None:
+            return Drop(Reason.UNKNOWN_ECHO)
+        flow = self.flows.find(packet.flow)
+        if flow is None or flow.upstream is not upstream:
+            flow = self.flows.start(packet.flow, upstream, now)
+        self.flows.follow(packet, flow, now)
+        lost = self.lost(upstream, flow, now)
+        if lost is not None:
+            return self.reset(packet, lost, upstream)
+        return self.forward(payload, upstream, Reason.FOLLOWED)
+
+    def lost(
+        self,
+        upstream: KnownUpstream,
+        flow: SeenFlow,
+        now: float,
+    ) -> Reason | None:
+        """Return why a flow is certainly lost, None while it may live."""
+        if upstream.health.is_dark(now):
+            return Reason.UPSTREAM_DARK
+        silent = upstream.health.silent
+        gone = self.upstreams.presence(upstream, now) is Presence.GONE
+        if gone and silent and flow.waiting_since:
+            return Reason.UPSTREAM_GONE
+        return None
+
+    def forward(
+        self,
+        payload: bytes,
+        upstream: KnownUpstream,
+        reason: Reason,
+    ) -> Forward:
+        """Mark a packet for one upstream process."""
+        record = upstream.record
+        return Forward(
+            TAG.pack(record.tag) + payload,
+            (record.host, record.port),
+            reason,
+        )
+
+    def reset(
+        self,
+        packet: Packet,
+        reason: Reason,
+        upstream: KnownUpstream | None = None,
+    ) -> Reset:
+        """End a client's flow."""
+        self.log.decided(packet, reason, upstream)
+        self.flows.end(packet.flow)
+        target = (dotted(packet.client), self.client_port)
+        return Reset(reset_of(packet), target, reason)
--- /dev/null
+++ b/burdocksill/packets/header.py
@@ -0,0 +1,113 @@
+"""The fixed header in front of each packet's data."""
+
+import struct
+from typing import Final
+
+import attrs
+
+# len, echo, seq, ack, src, dport, sport, dst, sum, flags; big-endian.
+HEADER: Final = struct.Struct('>HIIIIHHIIB')
+ECHO: Final = struct.Struct('>I')
+TAG: Final = struct.Struct('>Q')
+ECHO_OFFSET: Final = 2
+ECHO_END: Final = ECHO_OFFSET + ECHO.size
+LARGEST_DATA: Final = 1200
+LARGEST_PACKET: Final = HEADER.size + LARGEST_DATA
+
+SYN: Final = 128
+ACK: Final = 64
+FIN: Final = 8
+RST: Final = 4
+KNOWN_FLAGS: Final = SYN | ACK | FIN | RST | 2
+HALF_SPACE: Final = 1 << 31
+SEQUENCE_MASK: Final = (1 << 32) - 1
+
+
+@attrs.define
+class Packet:
+    """Hold the header of a client's packet; fields stand in wire order."""
+
+    length: int
+    echo: int
+    seq: int
+    ack: int
+    client: int
+    port: int
+    client_port: int
+    address: int
+    checksum: int
+    flags: int
+
+    @property
+    def opens(self) -> bool:
+        """Return True for the first packet of a flow and its copies."""
+        return self.flags & SYN != 0
+
+    @property
+    def flow(self) -> tuple[int, int, int, int]:
+        """Return what tells a flow from all others."""
+        return (self.client, self.client_port, self.address, self.port)
+
+    @property
+    def flow_id(self) -> str:
+        """Write the flow as client:port>address:port for people."""
+        client = f'{dotted(self.client)}:{self.client_port}'
+        return f'{client}>{dotted(self.address)}:{self.port}'
+
+
+def parse(payload: bytes) -> Packet | None:
+    """Read a client's packet; None for anything that no client would send."""
+    size = len(payload)
+    if size < HEADER.size or size > LARGEST_PACKET:
+        return None
+    packet = Packet(*HEADER.unpack_from(payload))
+    if packet.length != size - HEADER.size or packet.flags & ~KNOWN_FLAGS:
+        return None
+    # A client never answers its own opening: SYN with ACK comes from an
+    # upstream, or from somebody who forges one.
+    if packet.opens and packet.flags & (ACK | RST | FIN):
+        return None
+    return packet
+
+
+def with_echo(payload: bytes, echo: int) -> bytes:
+    """Return the packet with another echo, the one field that may change."""
+    return payload[:ECHO_OFFSET] + ECHO.pack(echo) + payload[ECHO_END:]
+
+
+def reset_of(packet: Packet) -> bytes:
+    """Write the reset that ends a client's flow.
+
+    Its sequence number is the client's last acknowledged one: clients take a
+    reset of an open flow only near that number.
+    """
+    return HEADER.pack(
+        0,
+        0,
+        packet.ack,
+        0,
+        packet.address,
+        packet.client_port,
+        packet.port,
+        packet.client,
+        0,
+        RST,
+    )
+
+
+def advanced(newer: int, older: int) -> bool:
+    """Return True when a sequence number lies after another, modulo 2**32."""
+    return 0 < (newer - older) & SEQUENCE_MASK < HALF_SPACE
+
+
+def dotted(address: int) -> str:
+    """Write an IPv4 address that is held as a number."""
+    return '.'.join(str(part) for part in address.to_bytes(4, 'big'))
+
+
+def undotted(text: str) -> int:
+    """Read an IPv4 address as a number; ValueError when it is none."""
+    parts = [int(part) for part in text.split('.')]
+    if len(parts) != 4:
+        raise ValueError(text)
+    return int.from_bytes(bytes(parts), 'big')
--- /dev/null
+++ b/burdocksill/packets/placement.py
@@ -0,0 +1,151 @@
+"""Choose the upstream of a new flow."""
+
+from collections.abc import Container
+from random import Random
+from typing import Final
+
+import attrs
+
+from burdocksill.packets.messages import Route, Share
+from burdocksill.packets.routing import RoutingTable
+from burdocksill.packets.upstreams import KnownUpstream, Presence, Upstreams
+
+# Another failure domain is taken only when its best upstream holds this many
+# fewer flows for each slot than the best of our own: a flow that stays at
+# home outlives a cut between the domains and pays for no bytes between them.
+SPILL_MARGIN: Final = 4.0
+# A cold upstream needs longer for each request, and its flows outlast that.
+COLD_LOAD_FACTOR: Final = 1.6
+# Ranks of candidates: a lower one is taken whenever there is any.
+WELL: Final = 0
+ASIDE: Final = 1
+LAPSED: Final = 2
+NOTHING_AVOIDED: Final[frozenset[str]] = frozenset()
+
+
+@attrs.define(kw_only=True)
+class ColdBudget:
+    """Count the new flows of cold upstreams in a sliding second."""
+
+    opened: dict[str, list[float]] = attrs.field(factory=dict)
+
+    def take(self, name: str, now: float, limit: float) -> bool:
+        """Count a flow if the last second had room for it."""
+        recent = [at for at in self.opened.get(name, ()) if now - at < 1]
+        allowed = len(recent) < limit
+        if allowed:
+            recent.append(now)
+        self.opened[name] = recent
+        return allowed
+
+
+@attrs.define(kw_only=True)
+class PacketPlacer:
+    """Choose the least loaded upstream of the own failure domain.
+
+    Load is what this node itself sees open. Nodes do not share it, so they
+    don't all run to the same upstream at once.
+    """
+
+    domain: str
+    table: RoutingTable
+    upstreams: Upstreams
+    rng: Random
+    # Failure domains that operators have taken out.
+    out: set[str] = attrs.field(factory=set)
+    budget: ColdBudget = attrs.field(factory=ColdBudget)
+    # How many nodes may send to the same cold upstream.
+    nodes: int = 1
+
+    def place(
+        self,
+        route: Route,
+        now: float,
+        avoid: Container[str] = NOTHING_AVOIDED,
+    ) -> KnownUpstream | None:
+        """Return an upstream for a new flow, None when there is none."""
+        for share in self.shuffled(route.shares):
+            chosen = self.place_at(share.service, now, avoid)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def shuffled(self, shares: tuple[Share, ...]) -> list[Share]:
+        """Return the services in a random order that follows the weights."""
+        rest = [share for share in shares if share.weight > 0]
+        ordered: list[Share] = []
+        while rest:
+            weights = [share.weight for share in rest]
+            chosen = self.rng.choices(rest, weights)[0]
+            rest.remove(chosen)
+            ordered.append(chosen)
+        return ordered
+
+    def place_at(
+        self,
+        service: str,
+        now: float,
+        avoid: Container[str],
+    ) -> KnownUpstream | None:
+        """Return an upstream of a service, the best rank first."""
+        ranks: tuple[list[KnownUpstream], ...] = ([], [], [])
+        for known in self.upstreams.of_service(service, now):
+            if known.record.domain not in self.out:
+                ranks[self.rank(known, now, avoid)].append(known)
+        limit = self.cold_limit(service)
+        for candidates in ranks:
+            for known in self.by_preference(candidates, now):
+                if not known.is_cold(now) or self.take_cold(known, now, limit):
+                    return known
+        return None
+
+    def rank(
+        self,
+        known: KnownUpstream,
+        now: float,
+        avoid: Container[str],
+    ) -> int:
+        """Return how much speaks against an upstream."""
+        if self.upstreams.presence(known, now) is Presence.LAPSED:
+            return LAPSED
+        if known.record.name in avoid or known.health.is_aside(now):
+            return ASIDE
+        return WELL
+
+    def by_preference(
+        self,
+        candidates: list[KnownUpstream],
+        now: float,
+    ) -> list[KnownUpstream]:
+        """Sort by load, the own failure domain ahead by the margin."""
+        keyed = [
+            (self.load(known, now), self.rng.random(), known)
+            for known in candidates
+        ]
+        keyed.sort(key=lambda one: one[:2])
+        return [known for _, _, known in keyed]
+
+    def load(self, known: KnownUpstream, now: float) -> float:
+        """Return the flows for each slot, as the own domain compares them."""
+        load = known.flows / known.record.slots
+        if known.is_cold(now):
+            load = (load + 1) * COLD_LOAD_FACTOR
+        if known.record.domain != self.domain:
+            load += SPILL_MARGIN
+        return load
+
+    def cold_limit(self, service: str) -> float:
+        """Return this node's share of what a cold upstream may get."""
+        limit = self.table.limits(service).cold_per_second
+        return limit / max(1, self.nodes) if limit else float('inf')
+
+    def take_cold(
+        self,
+        known: KnownUpstream,
+        now: float,
+        limit: float,
+    ) -> bool:
+        """Count a new flow on a cold upstream if it can bear it."""
+        if limit == float('inf'):
+            return True
+        return self.budget.take(known.record.name, now, limit)
--- /dev/null
+++ b/burdocksill/packets/upstreams.py
@@ -0,0 +1,137 @@
+"""The upstreams that a node knows, and for how long an absent one counts."""
+
+import enum
+import hashlib
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from burdocksill.packets.health import UpstreamHealth
+from burdocksill.packets.messages import UpstreamRecord, UpstreamState
+
+# An entry that lapsed while the store was in trouble is back within two
+# seconds of its return if the upstream lives; the rest is for the way here.
+ABSENT_SECONDS: Final = 2.4
+# Flows may outlive their upstream's entry by the longest life of a flow.
+FORGET_SECONDS: Final = 90.0
+ECHO_BYTES: Final = 4
+LARGEST_ECHO: Final = (1 << 32) - 1
+
+
+class Presence(enum.Enum):
+    """Name how sure it is that an upstream is there."""
+
+    PRESENT = 'present'
+    # Its entry vanished a moment ago, or while the store was in trouble.
+    LAPSED = 'lapsed'
+    GONE = 'gone'
+
+
+@attrs.define(kw_only=True)
+class KnownUpstream:
+    """Hold an upstream's record and what this node has seen of it."""
+
+    record: UpstreamRecord
+    echo: int
+    since: float
+    warm_at: float = 0
+    # When its entry vanished; 0 while it is there.
+    absent_since: float = 0
+    flows: int = 0
+    health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
+
+    def presence(self, now: float, stable_since: float) -> Presence:
+        """Tell whether it is gone; before a stable time nobody can know."""
+        if not self.absent_since:
+            return Presence.PRESENT
+        counted_from = max(self.absent_since, stable_since)
+        if now - counted_from < ABSENT_SECONDS:
+            return Presence.LAPSED
+        return Presence.GONE
+
+    def is_cold(self, now: float) -> bool:
+        """Return True while it is slow after its start."""
+        return now < self.warm_at
+
+
+def echo_of(record: UpstreamRecord) -> int:
+    """Return the 32 bits by which packets name an upstream.
+
+    A tag that fits is taken as it is: it can't collide, and every node and
+    every later process finds the same upstream without a table.
+    """
+    if 0 < record.tag <= LARGEST_ECHO:
+        return record.tag
+    digest = hashlib.blake2b(record.name.encode(), digest_size=ECHO_BYTES)
+    return int.from_bytes(digest.digest(), 'big') or 1
+
+
+@attrs.define(kw_only=True)
+class Upstreams:
+    """Find upstreams by service for new flows, by echo for open ones."""
+
+    by_name: dict[str, KnownUpstream] = attrs.field(factory=dict)
+    by_echo: dict[int, KnownUpstream] = attrs.field(factory=dict)
+    # Since when the list has been read without trouble; 0 while it can't be.
+    stable_since: float = 0
+
+    def see(self, record: UpstreamRecord, now: float) -> bool:
+        """Take in an entry; return True if it differs in more than age."""
+        known = self.by_name.get(record.name)
+        if known is None or known.record.born != record.born:
+            self.add(record, now)
+            return True
+        changed = known.record != record or bool(known.absent_since)
+        known.record = record
+        known.absent_since = 0
+        if record.cold_seconds:
+            known.warm_at = now + record.cold_seconds
+        return changed
+
+    def add(self, record: UpstreamRecord, now: float) -> None:
+        """Start to know an upstream, or a new start of one."""
+        known = KnownUpstream(record=record, echo=echo_of(record), since=now)
+        if record.cold_seconds:
+            known.warm_at = now + record.cold_seconds
+        self.by_name[record.name] = known
+        self.by_echo[known.echo] = known
+
+    def lose(self, name: str, now: float) -> bool:
+        """Take note that an entry vanished; return True if it was there."""
+        known = self.by_name.get(name)
+        if known is None or known.absent_since:
+            return False
+        known.absent_since = now
+        return True
+
+    def retain(self, names: set[str], now: float) -> list[str]:
+        """Lose all that a whole reading did not show; return their names."""
+        missing = self.by_name.keys() - names
+        return [name for name in missing if self.lose(name, now)]
+
+    def forget_old(self, now: float) -> None:
+        """Drop what has been absent for longer than any flow lives."""
+        for name, known in list(self.by_name.items()):
+            absent = known.absent_since
+            if absent and now - absent > FORGET_SECONDS:
+                del self.by_name[name]
+                if self.by_echo.get(known.echo) is known:
+                    del self.by_echo[known.echo]
+
+    def of_service(self, service: str, now: float) -> Iterator[KnownUpstream]:
+        """Return the upstreams of a service that may get new flows."""
+        for known in self.by_name.values():
+            record = known.record
+            if record.service != service:
+                continue
+            if record.state is not UpstreamState.READY:
+                continue
+            if self.presence(known, now) is not Presence.GONE:
+                yield known
+
+    def presence(self, known: KnownUpstream, now: float) -> Presence:
+        """Tell whether an upstream is gone, by what is certain."""
+        if not self.stable_since and known.absent_since:
+            return Presence.LAPSED
+        return known.presence(now, self.stable_since)
--- a/burdocksill/platform/exceptions.py
+++ b/burdocksill/platform/exceptions.py
@@ -27,3 +27,15 @@
             hint='read what stands now and watch from there',
         )
         self.revision = revision
+
+
+class RecordInvalidError(BurdocksillError):
+    """Say that an entry of the store cannot be read; it names nothing."""
+
+    code = 'burdocksill.E107'
+
+
+class PlatformRefusedError(PlatformUnavailableError):
+    """Say that the platform answered, but with nothing done."""
+
+    code = 'burdocksill.E108'
--- a/burdocksill/platform/protocols.py
+++ b/burdocksill/platform/protocols.py
@@ -14,6 +14,8 @@
     key: str
     value: bytes
     revision: int
+    # True for the news that the key is there no more.
+    removed: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/burdocksill/platform/records.py
@@ -0,0 +1,185 @@
+"""Read what operators and upstreams write into the platform's store."""
+
+import json
+import math
+from typing import Any, Final
+
+from burdocksill.packets.header import undotted
+from burdocksill.packets.messages import (
+    DomainNews,
+    Manifest,
+    ManifestNews,
+    News,
+    Route,
+    ServiceLimits,
+    Share,
+    UpstreamLost,
+    UpstreamNews,
+    UpstreamRecord,
+    UpstreamState,
+)
+from burdocksill.platform.exceptions import RecordInvalidError
+from burdocksill.platform.protocols import StoredValue
+
+OPERATORS: Final = 'op/'
+MANIFEST: Final = 'op/config'
+DOMAINS_OUT: Final = 'op/evacuate/'
+UPSTREAMS: Final = 'servers/'
+MILLISECONDS: Final = 1000
+LARGEST_TAG: Final = (1 << 64) - 1
+LARGEST_PORT: Final = 65535
+HEX: Final = 16
+DEFAULT_IDLE_MILLISECONDS: Final = 15000
+
+
+def decode(stored: StoredValue) -> News | None:
+    """Return the news of an item, None for a key that says nothing here."""
+    if stored.key == MANIFEST:
+        # The manifest is replaced, never removed; without one the last holds.
+        if stored.removed:
+            return None
+        return ManifestNews(read_manifest(stored.value))
+    if stored.key.startswith(DOMAINS_OUT):
+        domain = stored.key.removeprefix(DOMAINS_OUT)
+        return DomainNews(domain, not stored.removed)
+    if stored.key.startswith(UPSTREAMS):
+        name = stored.key.removeprefix(UPSTREAMS)
+        if stored.removed:
+            return UpstreamLost(name)
+        return UpstreamNews(read_upstream(name, stored.value))
+    return None
+
+
+def read_object(value: bytes) -> dict[str, Any]:
+    """Read a JSON object."""
+    try:
+        found = json.loads(value)
+    except ValueError as error:
+        raise RecordInvalidError(
+            message=f'{len(value)} bytes are no JSON: {error}',
+            hint='see which program writes this key',
+        ) from error
+    if not isinstance(found, dict):
+        raise RecordInvalidError(
+            message=f'found a {type(found).__name__} for an object',
+            hint='see which program writes this key',
+        )
+    return found
+
+
+def take(found: dict[str, Any], name: str, kind: type, fallback: Any) -> Any:
+    """Return a field of a kind; a fallback of None means it is required."""
+    field = found.get(name, fallback)
+    if kind is float and isinstance(field, int):
+        field = float(field)
+    if not isinstance(field, kind) or isinstance(field, bool):
+        raise RecordInvalidError(
+            message=f'{name} is {field!r}, not a {kind.__name__}',
+            hint='the entry is passed over until it is written again',
+        )
+    if kind is float and not math.isfinite(field):
+        raise RecordInvalidError(
+            message=f'{name} is {field!r}',
+            hint='the entry is passed over until it is written again',
+        )
+    return field
+
+
+def read_manifest(value: bytes) -> Manifest:
+    """Read the operators' configuration, whole or not at all."""
+    found = read_object(value)
+    services = take(found, 'Services', list, [])
+    limits = take(found, 'Limits', dict, {})
+    idle = take(limits, 'IdleTimeoutMs', float, DEFAULT_IDLE_MILLISECONDS)
+    return Manifest(
+        version=take(found, 'Version', int, None),
+        routes=tuple(read_route(one) for one in take(found, 'Routes', list, [])),
+        services={
+            take(one, 'Name', str, None): read_limits(one) for one in services
+        },
+        idle_seconds=idle / MILLISECONDS,
+    )
+
+
+def read_route(found: dict[str, Any]) -> Route:
+    """Read one route."""
+    # `Hostname` is the address that clients send to, and `Prefix` the port,
+    # between slashes.
+    host = take(found, 'Hostname', str, None)
+    port = take(found, 'Prefix', str, None).strip('/')
+    name = take(found, 'Name', str, '')
+    try:
+        return Route(
+            name=name,
+            address=undotted(host),
+            port=int(port),
+            shares=read_shares(found),
+        )
+    except (ValueError, OverflowError) as error:
+        raise RecordInvalidError(
+            message=f'route {name} has address {host!r} and port {port!r}',
+            hint='the manifest is passed over; write one that is whole',
+        ) from error
+
+
+def read_shares(found: dict[str, Any]) -> tuple[Share, ...]:
+    """Read the services of a route, by weight if there are several."""
+    split = take(found, 'TrafficSplit', list, [])
+    if not split:
+        return (Share(service=take(found, 'Service', str, None)),)
+    return tuple(
+        Share(
+            service=take(one, 'Service', str, None),
+            weight=take(one, 'Weight', float, 1),
+        )
+        for one in split
+    )
+
+
+def read_limits(found: dict[str, Any]) -> ServiceLimits:
+    """Read what a service's cold upstreams can bear."""
+    return ServiceLimits(
+        cold_seconds=take(found, 'WarmupS', float, 0),
+        cold_per_second=take(found, 'ColdPerS', float, 0),
+    )
+
+
+def read_upstream(name: str, value: bytes) -> UpstreamRecord:
+    """Read an upstream's entry; anything odd means that it names none."""
+    found = read_object(value)
+    state = take(found, 'State', str, None)
+    host, _, port = take(found, 'Address', str, None).rpartition(':')
+    try:
+        undotted(host)
+        record = UpstreamRecord(
+            name=name,
+            tag=read_tag(name),
+            service=take(found, 'Service', str, None),
+            host=host,
+            port=int(port),
+            domain=take(found, 'Zone', str, None),
+            slots=max(1, take(found, 'Slots', int, 1)),
+            state=UpstreamState(state),
+            # How much longer it stays slow, counted from this report.
+            cold_seconds=take(found, 'WarmupMs', float, 0) / MILLISECONDS,
+            born=take(found, 'born', int, 0),
+        )
+    except (ValueError, OverflowError) as error:
+        raise RecordInvalidError(
+            message=f'{name} has state {state!r} at {host}:{port}',
+            hint='the entry is passed over until it is written again',
+        ) from error
+    if not 0 < record.port <= LARGEST_PORT:
+        raise RecordInvalidError(
+            message=f'{name} has port {port}',
+            hint='the entry is passed over until it is written again',
+        )
+    return record
+
+
+def read_tag(name: str) -> int:
+    """Return the number that the hex digits of an upstream's name write."""
+    tag = int(name.rpartition('-')[2], HEX)
+    if not 0 < tag <= LARGEST_TAG:
+        raise ValueError(name)
+    return tag
--- /dev/null
+++ b/burdocksill/platform/store.py
@@ -0,0 +1,228 @@
+"""Client of the platform's key-value store over HTTP."""
+
+import base64
+import binascii
+import json
+from collections.abc import AsyncGenerator
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import attrs
+import h11
+import trio
+
+from burdocksill.network.http import HttpConnection, HttpReply
+from burdocksill.platform.exceptions import (
+    PlatformCompactedError,
+    PlatformRefusedError,
+    PlatformReplyError,
+    PlatformUnavailableError,
+)
+from burdocksill.platform.protocols import (
+    Snapshot,
+    StoredValue,
+    SwapResult,
+)
+
+# An answer takes 4 ms, 60 times that in trouble; beyond this it is lost.
+CALL_TIMEOUT_SECONDS: Final = 1.0
+# How long the store may hold a watch while nothing changes. A connection that
+# fell silent shows only by its answer's absence, so this and the time-out of
+# a call bound how old knowledge gets: 2.2 s, below the 3 s in which a change
+# must be in force. Longer waits would save calls, which are few.
+WATCH_WAIT_MILLISECONDS: Final = 1500
+WATCH_TIMEOUT_SECONDS: Final = 2.2
+OK: Final = 200
+GONE: Final = 410
+CONFLICT: Final = 412
+NOT_FOUND: Final = 404
+
+
+def decode_item(item: dict[str, Any]) -> StoredValue:
+    """Read one item; a removed one has no value left."""
+    try:
+        return StoredValue(
+            key=str(item['Key']),
+            value=base64.b64decode(item.get('Value') or ''),
+            revision=int(item.get('Rev', 0)),
+            removed=bool(item.get('Removed')),
+        )
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise PlatformReplyError(
+            message=f'an item of the store cannot be read: {error!r}',
+            hint='check that the address is that of the store',
+        ) from error
+
+
+def decode_body(target: str, reply: HttpReply) -> dict[str, Any]:
+    """Read the JSON object of an answer."""
+    try:
+        answer = json.loads(reply.body)
+    except ValueError as error:
+        raise PlatformReplyError(
+            message=f'{target} answered something that is not JSON',
+            hint='check that the address is that of the store',
+        ) from error
+    if not isinstance(answer, dict):
+        raise PlatformReplyError(
+            message=f'{target} answered {type(answer).__name__}',
+            hint='check that the address is that of the store',
+        )
+    return answer
+
+
+@attrs.define(kw_only=True)
+class StorePlatform:
+    """Call the store, one call after the other over one connection."""
+
+    connection: HttpConnection
+    # Calls made, by the status of their answers; 0 stands for none.
+    calls: dict[int, int] = attrs.field(factory=dict)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> HttpReply:
+        """Make one call; an error says that its effect is unknown."""
+        try:
+            with trio.fail_after(timeout):
+                reply = await self.connection.exchange(method, target, body)
+        except (
+            OSError,
+            h11.ProtocolError,
+            trio.BrokenResourceError,
+            trio.TooSlowError,
+        ) as error:
+            self.count(0)
+            raise PlatformUnavailableError(
+                message=f'{method} {target} got no answer: {error!r}',
+                hint='the store may be down; what is in force stays',
+            ) from error
+        self.count(reply.status)
+        if reply.status == GONE:
+            raise PlatformCompactedError(revision=0)
+        if reply.status not in {OK, CONFLICT, NOT_FOUND}:
+            raise PlatformRefusedError(
+                message=f'{method} {target} answered {reply.status}',
+                hint='nothing was done; try again after a pause',
+            )
+        return reply
+
+    def count(self, status: int) -> None:
+        """Count a call, as each of them costs."""
+        self.calls[status] = self.calls.get(status, 0) + 1
+
+    async def read(self, key: str) -> StoredValue | None:
+        """Return one value, or None when the key is absent."""
+        target = f'/-/kv-key?{urlencode({"Key": key})}'
+        reply = await self.call('GET', target)
+        if reply.status == NOT_FOUND:
+            return None
+        return decode_item(decode_body(target, reply))
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Return all values below a prefix.
+
+        Pages are read one after the other while the store may change, so the
+        revision is that of the first: a watch from there repeats what
+        changed meanwhile.
+        """
+        values: list[StoredValue] = []
+        revision = 0
+        query = {'Prefix': prefix}
+        while True:
+            target = f'/-/kv-range?{urlencode(query)}'
+            answer = decode_body(target, await self.call('GET', target))
+            page = [decode_item(item) for item in answer.get('items', ())]
+            values.extend(page)
+            revision = revision or int(answer.get('AsOf', 0))
+            if not answer.get('HasMore') or not page:
+                return Snapshot(values=tuple(values), revision=revision)
+            query['after'] = page[-1].key
+
+    async def changes(self, *, prefix: str, after: int) -> Snapshot:
+        """Wait for changes after a revision; none when the wait ran out."""
+        query = {
+            'Prefix': prefix,
+            'after': after,
+            'WaitMs': WATCH_WAIT_MILLISECONDS,
+        }
+        target = f'/-/kv-watch?{urlencode(query)}'
+        reply = await self.call('GET', target, timeout=WATCH_TIMEOUT_SECONDS)
+        answer = decode_body(target, reply)
+        events = answer.get('events', ())
+        return Snapshot(
+            values=tuple(decode_item(event) for event in events),
+            revision=int(answer.get('AsOf', after)),
+        )
+
+    async def watch(
+        self,
+        *,
+        prefix: str,
+        from_revision: int,
+    ) -> AsyncGenerator[StoredValue, None]:
+        """Yield changes below a prefix, oldest first, until a call fails."""
+        after = from_revision - 1
+        while True:
+            found = await self.changes(prefix=prefix, after=after)
+            after = found.revision
+            for value in found.values:
+                yield value
+
+    async def swap(
+        self,
+        *,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+    ) -> SwapResult:
+        """Write if the key still has the expected revision (0: absent).
+
+        A write whose answer was lost may take effect later, so its outcome is
+        read back: the value stands there, or the revision still does and the
+        caller may try again with the same condition.
+        """
+        wanted = {
+            'Expect': [{'Key': key, 'Rev': expected_revision}],
+            'Puts': [{'Key': key, 'Value': base64.b64encode(value).decode()}],
+            'Delete': [],
+        }
+        body = json.dumps(wanted).encode()
+        try:
+            reply = await self.call('POST', '/-/kv-txn', body)
+        except PlatformRefusedError:
+            raise
+        except PlatformUnavailableError:
+            return await self.read_back(key, value, expected_revision)
+        if reply.status == OK:
+            revision = int(decode_body('/-/kv-txn', reply).get('Rev', 0))
+            written = StoredValue(key=key, value=value, revision=revision)
+            return SwapResult(accepted=True, revision=revision, current=written)
+        current = await self.read(key)
+        revision = current.revision if current else 0
+        return SwapResult(accepted=False, revision=revision, current=current)
+
+    async def read_back(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+    ) -> SwapResult:
+        """Find out what became of a write whose answer was lost."""
+        current = await self.read(key)
+        revision = current.revision if current else 0
+        written = current is not None and current.value == value
+        if revision == expected_revision and not written:
+            raise PlatformUnavailableError(
+                message=f'the write of {key} has not taken effect yet',
+                hint='write again with the same expected revision',
+            )
+        return SwapResult(
+            accepted=written,
+            revision=revision,
+            current=current,
+        )
