Stay in the own failure domain unless it queues; one watch; stop when quiet

Ruled out: a lower margin by count of flows (4 a slot); long flows reach it in every domain, so it spread flows at all times.

Change: a new flow leaves its domain only when the chosen upstream has 1.5 requests in progress a slot; one watch over all keys instead of two, with changes gathered for 0.2 s; a stopping node ends once no packets come, after 1.1 s at the earliest.

--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -62,6 +62,7 @@
         flow = self.flows.pop(key, None)
         if flow is not None:
             flow.upstream.flows -= 1
+            self.stop_waiting(flow)
             flow.upstream.health.silent.pop(key, None)
 
     def idle(self, before: float) -> Iterator[FlowKey]:
@@ -85,9 +86,15 @@
         """Take note that the upstream has sent something new."""
         flow.open = True
         flow.ack = packet.ack
-        flow.waiting_since = 0
+        self.stop_waiting(flow)
         flow.upstream.health.heard(now)
 
+    def stop_waiting(self, flow: SeenFlow) -> None:
+        """Count a flow out of those that wait for an answer."""
+        if flow.waiting_since:
+            flow.waiting_since = 0
+            flow.upstream.waiting -= 1
+
     def sent(
         self,
         key: FlowKey,
@@ -98,6 +105,8 @@
         """Take note of data, new or sent again."""
         if packet.seq != flow.seq:
             flow.seq = packet.seq
-            flow.waiting_since = flow.waiting_since or now
+            if not flow.waiting_since:
+                flow.waiting_since = now
+                flow.upstream.waiting += 1
         elif flow.waiting_since:
             flow.upstream.health.unanswered(key, flow.waiting_since)
--- a/burdocksill/packets/knowledge.py
+++ b/burdocksill/packets/knowledge.py
@@ -16,6 +16,7 @@
     News,
     UpstreamLost,
     UpstreamNews,
+    UpstreamRecord,
 )
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
@@ -31,6 +32,9 @@
 # store that has come back; the calls of all nodes are bounded by it.
 FIRST_PAUSE_SECONDS: Final = 0.1
 LONGEST_PAUSE_SECONDS: Final = 0.8
+# After a change the next call waits this long, so that changes that come
+# together cost one call: a storm of one each 0.08 s costs half as many.
+GATHER_SECONDS: Final = 0.2
 
 logger = logging.getLogger(__name__)
 Decoder = Callable[[StoredValue], News | None]
@@ -46,35 +50,28 @@
         """Wait for changes after a revision; none when the wait ran out."""
 
 
-class Learner(Protocol):
-    """Take in what was read."""
-
-    def learn_all(self, news: list[News], now: float) -> None:
-        """Take in a whole reading; what it does not show is not there."""
-
-    def learn(self, news: News, now: float) -> None:
-        """Take in one change."""
-
-    def lose_touch(self) -> None:
-        """Take note that what is known may be out of date."""
-
-
 @attrs.define(kw_only=True)
-class RoutesLearner:
-    """Keep the routes and the failure domains that are out."""
+class Learner:
+    """Put what was read into the routes, the domains and the upstreams."""
 
     table: RoutingTable
     placer: PacketPlacer
+    upstreams: Upstreams
 
     def learn_all(self, news: list[News], now: float) -> None:
         """Take in a whole reading; what it does not show is not there."""
-        shown = {
-            one.domain for one in news if isinstance(one, DomainNews) and one.out
-        }
-        for domain in self.placer.out - shown:
-            self.learn(DomainNews(domain, out=False), now)
+        if not self.upstreams.stable_since:
+            self.upstreams.stable_since = now
         for one in news:
             self.learn(one, now)
+        out = {one.domain for one in news if isinstance(one, DomainNews)}
+        for domain in self.placer.out - out:
+            self.learn(DomainNews(domain, out=False), now)
+        shown = {
+            one.record.name for one in news if isinstance(one, UpstreamNews)
+        }
+        for name in self.upstreams.by_name.keys() - shown:
+            self.learn(UpstreamLost(name), now)
 
     def learn(self, news: News, now: float) -> None:
         """Take in one change."""
@@ -82,6 +79,13 @@
             self.learn_manifest(news)
         elif isinstance(news, DomainNews):
             self.learn_domain(news)
+        elif isinstance(news, UpstreamNews):
+            self.see(news.record, now)
+        elif self.upstreams.lose(news.name, now):
+            logger.info(
+                'upstream lost',
+                extra={'upstream': news.name, 'cause': news.cause},
+            )
 
     def learn_manifest(self, news: ManifestNews) -> None:
         """Put a newer manifest into force."""
@@ -105,54 +109,33 @@
         state = 'domain out' if news.out else 'domain back'
         logger.info(state, extra={'domain': news.domain})
 
-    def lose_touch(self) -> None:
-        """Go on with what is in force; its age tells that it may be old."""
-
-
-@attrs.define(kw_only=True)
-class UpstreamsLearner:
-    """Keep the list of upstreams."""
-
-    upstreams: Upstreams
-
-    def learn_all(self, news: list[News], now: float) -> None:
-        """Take in a whole reading; what it does not show is not there."""
-        if not self.upstreams.stable_since:
-            self.upstreams.stable_since = now
-        for one in news:
-            self.learn(one, now)
-        shown = {
-            one.record.name for one in news if isinstance(one, UpstreamNews)
-        }
-        for name in self.upstreams.retain(shown, now):
-            logger.info('upstream lost', extra={'upstream': name})
-
-    def learn(self, news: News, now: float) -> None:
-        """Take in one change."""
-        if isinstance(news, UpstreamNews):
-            record = news.record
-            if self.upstreams.see(record, now):
-                logger.info(
-                    'upstream seen',
-                    extra={
-                        'upstream': record.name,
-                        'service': record.service,
-                        'state': record.state.value,
-                        'domain': record.domain,
-                    },
-                )
-        elif isinstance(news, UpstreamLost):
-            if self.upstreams.lose(news.name, now):
-                logger.info('upstream lost', extra={'upstream': news.name})
+    def see(self, record: UpstreamRecord, now: float) -> None:
+        """Take in what an upstream says of itself."""
+        if self.upstreams.see(record, now):
+            logger.info(
+                'upstream seen',
+                extra={
+                    'upstream': record.name,
+                    'service': record.service,
+                    'state': record.state.value,
+                    'domain': record.domain,
+                },
+            )
 
     def lose_touch(self) -> None:
-        """Count absences anew once the store can be read again."""
+        """Count absences anew once the store can be read again.
+
+        Routes stay in force; their age tells that they may be old.
+        """
         self.upstreams.stable_since = 0
 
 
 @attrs.define(kw_only=True)
 class Follower:
-    """Keep one prefix of the store as current as it can be."""
+    """Keep what is below one prefix of the store as current as it can be.
+
+    One prefix holds everything, so that one waiting call is enough.
+    """
 
     prefix: str
     source: Source
@@ -186,24 +169,26 @@
     async def step(self) -> None:
         """Read everything once, and wait for changes from then on."""
         began = trio.current_time()
-        if not self.revision:
-            found = await self.source.read_prefix(self.prefix)
-            self.learner.learn_all(self.read(found), trio.current_time())
-        else:
+        if self.revision:
             found = await self.source.changes(
                 prefix=self.prefix,
                 after=self.revision,
             )
             for news in self.read(found):
                 self.learner.learn(news, trio.current_time())
+        else:
+            found = await self.source.read_prefix(self.prefix)
+            self.learner.learn_all(self.read(found), trio.current_time())
         self.revision = found.revision
         self.current_at = began
         self.pause = FIRST_PAUSE_SECONDS
-        self.line.enter('store followed', prefix=self.prefix)
+        self.line.enter('store followed', revision=str(found.revision))
         self.known.set()
+        if found.values:
+            await trio.sleep(GATHER_SECONDS)
 
     def read(self, found: Snapshot) -> list[News]:
-        """Decode values; one that can't be read says that nothing is there."""
+        """Decode values; one that can't be read changes nothing."""
         news: list[News] = []
         for stored in found.values:
             try:
@@ -213,7 +198,7 @@
                     'entry unreadable',
                     extra={'key': stored.key, 'cause': str(error)},
                 )
-                one = UpstreamLost(stored.key.rpartition('/')[2])
+                continue
             if one is not None:
                 news.append(one)
         return news
@@ -224,7 +209,7 @@
         self.line.enter(
             'store lost',
             level=logging.WARNING,
-            prefix=self.prefix,
+            revision=str(self.revision),
             cause=str(error),
         )
 
--- a/burdocksill/packets/messages.py
+++ b/burdocksill/packets/messages.py
@@ -94,9 +94,10 @@
 
 @attrs.frozen
 class UpstreamLost:
-    """Tell that an upstream's entry is not there any more."""
+    """Tell that an upstream's entry is not there any more, or unreadable."""
 
     name: str
+    cause: str = 'removed'
 
 
 News = ManifestNews | DomainNews | UpstreamNews | UpstreamLost
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -17,9 +17,8 @@
 from burdocksill.packets.knowledge import (
     Decoder,
     Follower,
-    RoutesLearner,
+    Learner,
     Source,
-    UpstreamsLearner,
 )
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
@@ -31,6 +30,11 @@
 # store's answers are not kept waiting by a flood.
 BATCH_LIMIT: Final = 64
 UPKEEP_SECONDS: Final = 1.0
+# Routers turn away after two probes without success, 0.5 s apart.
+FEWEST_STOP_SECONDS: Final = 1.1
+# Clients of an idle node send about ten packets in this time.
+QUIET_SECONDS: Final = 0.4
+STOP_CHECK_SECONDS: Final = 0.1
 OK: Final = 200
 UNAVAILABLE: Final = 503
 NOT_FOUND: Final = 404
@@ -47,23 +51,22 @@
     table: RoutingTable
     upstreams: Upstreams
     forwarder: Forwarder
-    routes: Follower
-    listing: Follower
+    follower: Follower
     counts: Counter[str] = attrs.field(factory=Counter)
     stopping: bool = False
+    # When the last packet came in.
+    packet_at: float = float('-inf')
 
     @property
     def is_ready(self) -> bool:
         """Return True once routes and upstreams are known, until a stop."""
-        known = self.routes.known.is_set() and self.listing.known.is_set()
-        return known and not self.stopping
+        return self.follower.known.is_set() and not self.stopping
 
     async def run(self) -> None:
         """Serve until SIGTERM, then for the time that flows need to move."""
         logger.info('started', extra={'listen': str(self.settings.listen)})
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.routes.run)
-            nursery.start_soon(self.listing.run)
+            nursery.start_soon(self.follower.run)
             nursery.start_soon(self.serve_pages)
             nursery.start_soon(self.forward_packets)
             nursery.start_soon(self.upkeep)
@@ -74,8 +77,7 @@
 
     async def announce(self) -> None:
         """Write a line once new flows can be served."""
-        await self.routes.known.wait()
-        await self.listing.known.wait()
+        await self.follower.known.wait()
         logger.info(
             'ready',
             extra={
@@ -85,12 +87,25 @@
         )
 
     async def wait_for_stop(self) -> None:
-        """Wait for SIGTERM, then until routers have turned elsewhere."""
+        """Wait for SIGTERM, then until routers have turned elsewhere.
+
+        A stop that takes longer than it must leaves fewer nodes in rotation
+        when one is stopped after the other.
+        """
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             await anext(signals)
             self.stopping = True
+            began = trio.current_time()
             logger.info('stopping', extra={'for_s': self.settings.stop_seconds})
-            await trio.sleep(self.settings.stop_seconds)
+            while not self.may_stop(trio.current_time() - began):
+                await trio.sleep(STOP_CHECK_SECONDS)
+
+    def may_stop(self, stopping_for: float) -> bool:
+        """Return True when no router sends packets, or time is up."""
+        quiet = trio.current_time() - self.packet_at >= QUIET_SECONDS
+        if stopping_for < FEWEST_STOP_SECONDS:
+            return False
+        return quiet or stopping_for >= self.settings.stop_seconds
 
     async def forward_packets(self) -> None:
         """Handle what the routers send, in batches."""
@@ -109,6 +124,7 @@
                 # An upstream's host refused an earlier datagram; that says
                 # nothing about those that wait here.
                 continue
+            self.packet_at = now
             self.handle(payload, now)
 
     def handle(self, payload: bytes, now: float) -> None:
@@ -166,12 +182,12 @@
     *,
     settings: PacketSettings,
     datagrams: socket.socket,
-    routes: tuple[str, Source],
-    listing: tuple[str, Source],
+    prefix: str,
+    source: Source,
     decode: Decoder,
     rng: Random,
 ) -> PacketNode:
-    """Compose a node; prefixes of the store come with their sources."""
+    """Compose a node that follows a prefix of the platform's store."""
     table = RoutingTable()
     upstreams = Upstreams()
     placer = PacketPlacer(
@@ -180,18 +196,11 @@
         upstreams=upstreams,
         rng=rng,
     )
-    routes_follower = Follower(
-        prefix=routes[0],
-        source=routes[1],
-        decode=decode,
-        learner=RoutesLearner(table=table, placer=placer),
-        rng=rng,
-    )
-    listing_follower = Follower(
-        prefix=listing[0],
-        source=listing[1],
+    follower = Follower(
+        prefix=prefix,
+        source=source,
         decode=decode,
-        learner=UpstreamsLearner(upstreams=upstreams),
+        learner=Learner(table=table, placer=placer, upstreams=upstreams),
         rng=rng,
     )
     forwarder = Forwarder(
@@ -199,7 +208,7 @@
         table=table,
         upstreams=upstreams,
         placer=placer,
-        freshness=routes_follower,
+        freshness=follower,
         log=PacketDecisions(),
     )
     return PacketNode(
@@ -208,6 +217,5 @@
         table=table,
         upstreams=upstreams,
         forwarder=forwarder,
-        routes=routes_follower,
-        listing=listing_follower,
+        follower=follower,
     )
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -10,10 +10,11 @@
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.upstreams import KnownUpstream, Presence, Upstreams
 
-# Another failure domain is taken only when its best upstream holds this many
-# fewer flows for each slot than the best of our own: a flow that stays at
+# A new flow leaves the own failure domain when the upstream chosen there has
+# this many requests in progress for each slot, as far as this node sees: it
+# sees a part of them, so the upstream queues by then. A flow that stays at
 # home outlives a cut between the domains and pays for no bytes between them.
-SPILL_MARGIN: Final = 4.0
+SPILL_IN_PROGRESS: Final = 1.5
 # A cold upstream needs longer for each request, and its flows outlast that.
 COLD_LOAD_FACTOR: Final = 1.6
 # Ranks of candidates: a lower one is taken whenever there is any.
@@ -117,21 +118,24 @@
         candidates: list[KnownUpstream],
         now: float,
     ) -> list[KnownUpstream]:
-        """Sort by load, the own failure domain ahead by the margin."""
+        """Sort by load, the own failure domain first unless it queues."""
         keyed = [
             (self.load(known, now), self.rng.random(), known)
             for known in candidates
         ]
         keyed.sort(key=lambda one: one[:2])
-        return [known for _, _, known in keyed]
+        ordered = [known for _, _, known in keyed]
+        near = [one for one in ordered if one.record.domain == self.domain]
+        far = [one for one in ordered if one.record.domain != self.domain]
+        if near and far and queues(near[0]) and not queues(far[0]):
+            return [*far, *near]
+        return [*near, *far]
 
     def load(self, known: KnownUpstream, now: float) -> float:
-        """Return the flows for each slot, as the own domain compares them."""
+        """Return the flows for each slot: long flows keep coming back."""
         load = known.flows / known.record.slots
         if known.is_cold(now):
             load = (load + 1) * COLD_LOAD_FACTOR
-        if known.record.domain != self.domain:
-            load += SPILL_MARGIN
         return load
 
     def cold_limit(self, service: str) -> float:
@@ -149,3 +153,8 @@
         if limit == float('inf'):
             return True
         return self.budget.take(known.record.name, now, limit)
+
+
+def queues(known: KnownUpstream) -> bool:
+    """Return True when requests wait at an upstream, as far as is seen."""
+    return known.waiting > known.record.slots * SPILL_IN_PROGRESS
--- a/burdocksill/packets/program.py
+++ b/burdocksill/packets/program.py
@@ -10,7 +10,7 @@
 from burdocksill.observe.stdout import log_to_stdout
 from burdocksill.packets.node import make_node
 from burdocksill.packets.settings import PacketSettings
-from burdocksill.platform.records import OPERATORS, UPSTREAMS, decode
+from burdocksill.platform.records import EVERYTHING, decode
 from burdocksill.platform.store import StorePlatform
 
 
@@ -24,8 +24,8 @@
     node = make_node(
         settings=settings,
         datagrams=datagrams,
-        routes=(OPERATORS, connect(settings)),
-        listing=(UPSTREAMS, connect(settings)),
+        prefix=EVERYTHING,
+        source=connect(settings),
         decode=decode,
         rng=rng,
     )
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -39,6 +39,8 @@
     # When its entry vanished; 0 while it is there.
     absent_since: float = 0
     flows: int = 0
+    # Those of them whose client waits for an answer.
+    waiting: int = 0
     health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
 
     def presence(self, now: float, stable_since: float) -> Presence:
@@ -105,11 +107,6 @@
         known.absent_since = now
         return True
 
-    def retain(self, names: set[str], now: float) -> list[str]:
-        """Lose all that a whole reading did not show; return their names."""
-        missing = self.by_name.keys() - names
-        return [name for name in missing if self.lose(name, now)]
-
     def forget_old(self, now: float) -> None:
         """Drop what has been absent for longer than any flow lives."""
         for name, known in list(self.by_name.items()):
--- a/burdocksill/platform/records.py
+++ b/burdocksill/platform/records.py
@@ -21,7 +21,9 @@
 from burdocksill.platform.exceptions import RecordInvalidError
 from burdocksill.platform.protocols import StoredValue
 
-OPERATORS: Final = 'op/'
+# Operators and upstreams write below prefixes of their own; nobody else does,
+# so that the empty one holds both, and one watch follows both.
+EVERYTHING: Final = ''
 MANIFEST: Final = 'op/config'
 DOMAINS_OUT: Final = 'op/evacuate/'
 UPSTREAMS: Final = 'servers/'
@@ -46,10 +48,18 @@
         name = stored.key.removeprefix(UPSTREAMS)
         if stored.removed:
             return UpstreamLost(name)
-        return UpstreamNews(read_upstream(name, stored.value))
+        return read_listed(name, stored.value)
     return None
 
 
+def read_listed(name: str, value: bytes) -> News:
+    """Read an upstream's entry; one that can't be read names none."""
+    try:
+        return UpstreamNews(read_upstream(name, value))
+    except RecordInvalidError as error:
+        return UpstreamLost(name, cause=str(error))
+
+
 def read_object(value: bytes) -> dict[str, Any]:
     """Read a JSON object."""
     try:
