Import between packets without a thread

Change: a finder of modules that finds nothing drains the packets' socket, so that packets are forwarded between modules, in one thread.

--- a/burdocksill/packets/faststart.py
+++ b/burdocksill/packets/faststart.py
@@ -2,16 +2,18 @@
 
 After a loss of power every node starts at once, and no flow is served until
 the first has. Importing the libraries of the whole program takes a node with
-a quarter of a core 0.9 s; deciding about packets needs half of that. So a
-thread imports the rest, while this loop reads the store and forwards.
+a quarter of a core 0.9 s; deciding about packets needs two thirds of that. So
+the store is read first, and the rest is imported between packets.
 """
 
+import importlib
 import logging
 import select
 import socket
-import threading
+import sys
 import time
-from collections.abc import Callable, Generator
+from collections.abc import Generator
+from types import ModuleType
 from typing import Final
 
 import attrs
@@ -24,7 +26,7 @@
 from burdocksill.platform.protocols import Snapshot
 
 READ_BYTES: Final = 65536
-# How often the loop looks whether the rest has been imported.
+# How often the loop looks whether the time for the reading is up.
 LOOK_SECONDS: Final = 0.02
 # The store answers in 4 ms, and in 0.24 s when it is slow.
 READING_SECONDS: Final = 0.4
@@ -98,27 +100,39 @@
         self.plain.close()
 
 
-def serve_while(
-    importing: Callable[[], None],
-    core: PacketCore,
-    reading: FirstReading,
-) -> None:
-    """Read the store, then forward packets until the import has ended.
+@attrs.define(kw_only=True)
+class DrainBetweenImports:
+    """Forward what has arrived each time another module is looked for.
 
-    The import begins after the reading, or it would slow that down. Packets
-    wait in their socket until it is known where they may go.
+    Modules take a few milliseconds each. A thread for the import would do the
+    same, but a process was seen to crash while one imported and one forwarded.
     """
+
+    core: PacketCore
+
+    def find_spec(self, *_: object) -> None:
+        """Forward packets, and leave the module to the other finders."""
+        self.core.drain(time.monotonic())
+
+
+def read_first(reading: FirstReading) -> None:
+    """Read the store, for as long as it may take when it is slow."""
     deadline = reading.asked_at + READING_SECONDS
     while not reading.ended and time.monotonic() < deadline:
         wanted = [reading.plain]
         select.select(wanted, wanted if reading.out else [], [], LOOK_SECONDS)
         reading.proceed()
     reading.end()
-    thread = threading.Thread(target=importing, daemon=True)
-    thread.start()
-    while thread.is_alive():
-        readable, _, _ = select.select([core.datagrams], [], [], LOOK_SECONDS)
-        if readable and core.progress.is_known:
-            core.drain(time.monotonic())
-        elif readable:
-            thread.join(LOOK_SECONDS)
+
+
+def import_while_serving(name: str, core: PacketCore) -> ModuleType:
+    """Import a module; packets are forwarded if it is known where to."""
+    if not core.progress.is_known:
+        # Packets wait in their socket until the program has read the store.
+        return importlib.import_module(name)
+    finder = DrainBetweenImports(core=core)
+    sys.meta_path.insert(0, finder)
+    try:
+        return importlib.import_module(name)
+    finally:
+        sys.meta_path.remove(finder)
--- a/burdocksill/packets/main.py
+++ b/burdocksill/packets/main.py
@@ -1,6 +1,5 @@
 """Start one node of the packet path from the platform's settings file."""
 
-import importlib
 import logging
 import os
 import socket
@@ -12,7 +11,11 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.observe.stdout import log_to_stdout
 from burdocksill.packets.core import PacketCore, make_core
-from burdocksill.packets.faststart import FirstReading, serve_while
+from burdocksill.packets.faststart import (
+    FirstReading,
+    import_while_serving,
+    read_first,
+)
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.platform.calls import range_pages
 from burdocksill.platform.node_file import VARIABLE, read_node_file
@@ -42,15 +45,15 @@
         return read_node_file(settings_file.read())
 
 
-def start_fast(settings: PacketSettings, core: PacketCore) -> None:
-    """Serve from the first reading on while the program is imported."""
+def read_store(settings: PacketSettings, core: PacketCore) -> None:
+    """Read the store once, before the rest of the program is there."""
     reading = FirstReading(
         remote=settings.platform,
         pages=range_pages(EVERYTHING),
         core=core,
         asked_at=time.monotonic(),
     )
-    serve_while(lambda: importlib.import_module(PROGRAM), core, reading)
+    read_first(reading)
 
 
 def main() -> None:
@@ -69,6 +72,7 @@
         decode=decode,
         rng=rng,
     )
-    start_fast(settings, core)
+    read_store(settings, core)
+    program = import_while_serving(PROGRAM, core)
     logger.info('program loaded', extra={'known': core.progress.is_known})
-    importlib.import_module(PROGRAM).run(settings, core, rng)
+    program.run(settings, core, rng)
