--- a/burdocksill/network/exchange.py
+++ b/burdocksill/network/exchange.py
@@ -56,14 +56,18 @@
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
                 return None
-            if isinstance(event, h11.Response):
-                self.status = event.status_code
-            elif isinstance(event, h11.Data):
-                self.parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
+            if self.take(event):
                 return HttpReply(status=self.status, body=b''.join(self.parts))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError(f'{self.remote} closed')
+
+    def take(self, event: object) -> bool:
+        """Take in one event; return True for the end of an answer."""
+        if isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError(f'{self.remote} closed')
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+        elif isinstance(event, h11.Data):
+            self.parts.append(bytes(event.data))
+        return isinstance(event, h11.EndOfMessage)
 
     def next_round(self) -> bool:
         """Prepare for another request; False when the connection ends."""
--- a/burdocksill/network/http.py
+++ b/burdocksill/network/http.py
@@ -64,7 +64,8 @@
 
     async def close(self) -> None:
         """Close without waiting; the next exchange connects anew."""
-        stream, self.stream = self.stream, None
+        stream = self.stream
+        self.stream = None
         if stream is not None:
             await trio.aclose_forcefully(stream)
 
@@ -78,7 +79,7 @@
         event = protocol.next_event()
         if event is not h11.NEED_DATA:
             return event
-        protocol.receive_data(await stream.receive_some(READ_BYTES))
+        protocol.receive_data(bytes(await stream.receive_some(READ_BYTES)))
 
 
 Handler = Callable[[str], Awaitable[HttpReply]]
--- a/burdocksill/observe/stdout.py
+++ b/burdocksill/observe/stdout.py
@@ -28,7 +28,8 @@
     def take(self, second: int) -> bool:
         """Return True when there is room for one more line."""
         if second != self.second:
-            self.second, self.written = second, 0
+            self.second = second
+            self.written = 0
         if self.written >= LINES_PER_SECOND:
             self.left_out += 1
             return False
@@ -61,7 +62,8 @@
             if name not in PLAIN_FIELDS
         }
         if budget.left_out:
-            fields['left_out'], budget.left_out = budget.left_out, 0
+            fields['left_out'] = budget.left_out
+            budget.left_out = 0
         if record.exc_info:
             fields['trace'] = logging.Formatter().formatException(
                 record.exc_info,
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -82,10 +82,8 @@
             self.counts[verdict.reason.value] += 1
             return
         self.send(verdict)
-        if self.forwarder.due:
-            due, self.forwarder.due = self.forwarder.due, []
-            for reset in due:
-                self.send(reset)
+        while self.forwarder.due:
+            self.send(self.forwarder.due.pop())
 
     def send(self, verdict: Forward | Reset) -> None:
         """Send a packet or a reset, or count it as lost."""
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -69,9 +69,7 @@
     def on(self, upstream: KnownUpstream) -> list[FlowKey]:
         """Return the flows on an upstream."""
         return [
-            key
-            for key, flow in self.flows.items()
-            if flow.upstream is upstream
+            key for key, flow in self.flows.items() if flow.upstream is upstream
         ]
 
     def idle(self, before: float) -> Iterator[FlowKey]:
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -9,7 +9,7 @@
     TAG,
     Packet,
     dotted,
-    parse,
+    read_packet,
     reset_of,
     with_echo,
 )
@@ -78,7 +78,7 @@
 
     def decide(self, payload: bytes, now: float) -> Verdict:
         """Return what to do with a datagram that a client sent."""
-        packet = parse(payload)
+        packet = read_packet(payload)
         if packet is None:
             return Drop(Reason.MALFORMED)
         if packet.opens:
--- a/burdocksill/packets/header.py
+++ b/burdocksill/packets/header.py
@@ -49,8 +49,7 @@
         return (self.client, self.client_port, self.address, self.port)
 
 
-
-def parse(payload: bytes) -> Packet | None:
+def read_packet(payload: bytes) -> Packet | None:
     """Read a client's packet; None for anything that no client would send."""
     size = len(payload)
     if size < HEADER.size or size > LARGEST_PACKET:
--- a/burdocksill/packets/learner.py
+++ b/burdocksill/packets/learner.py
@@ -39,19 +39,27 @@
 
     def learn_all(self, found: Snapshot, now: float) -> None:
         """Take in a whole reading; what it does not show is not there."""
-        news = self.read(found)
         if not self.upstreams.stable_since:
             self.upstreams.stable_since = now
-        for one in news:
+        news = self.read(found)
+        for one in (*news, *self.missing(news)):
             self.learn(one, now)
-        out = {one.domain for one in news if isinstance(one, DomainNews)}
-        for domain in self.placer.out - out:
-            self.learn(DomainNews(domain, out=False), now)
+
+    def missing(self, news: list[News]) -> list[News]:
+        """Return what was there before and a whole reading does not show."""
         shown = {
-            one.record.name for one in news if isinstance(one, UpstreamNews)
+            found.record.name
+            for found in news
+            if isinstance(found, UpstreamNews)
         }
-        for name in self.upstreams.by_name.keys() - shown:
-            self.learn(UpstreamLost(name), now)
+        out = {found.domain for found in news if isinstance(found, DomainNews)}
+        return [
+            *(
+                UpstreamLost(name)
+                for name in self.upstreams.by_name.keys() - shown
+            ),
+            *(DomainNews(name, out=False) for name in self.placer.out - out),
+        ]
 
     def learn(self, news: News, now: float) -> None:
         """Take in one change."""
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -18,7 +18,6 @@
 FEWEST_STOP_SECONDS: Final = 1.1
 # Clients of an idle node send about ten packets in this time.
 QUIET_SECONDS: Final = 0.4
-STOP_CHECK_SECONDS: Final = 0.1
 OK: Final = 200
 UNAVAILABLE: Final = 503
 NOT_FOUND: Final = 404
@@ -63,15 +62,18 @@
             self.stopping = True
             began = self.clock()
             logger.info('stopping', extra={'for_s': self.settings.stop_seconds})
-            while not self.may_stop(self.clock() - began):
-                await trio.sleep(STOP_CHECK_SECONDS)
-
-    def may_stop(self, stopping_for: float) -> bool:
-        """Return True when no router sends packets, or time is up."""
-        quiet = self.clock() - self.core.packet_at >= QUIET_SECONDS
-        if stopping_for < FEWEST_STOP_SECONDS:
-            return False
-        return quiet or stopping_for >= self.settings.stop_seconds
+            await self.wait_for_quiet(began)
+
+    async def wait_for_quiet(self, began: float) -> None:
+        """Wait until no router sends packets, or time is up."""
+        latest = began + self.settings.stop_seconds
+        await trio.sleep(FEWEST_STOP_SECONDS)
+        while True:
+            now = self.clock()
+            quiet_at = self.core.packet_at + QUIET_SECONDS
+            if now >= min(quiet_at, latest):
+                return
+            await trio.sleep(min(quiet_at, latest) - now)
 
     async def forward_packets(self) -> None:
         """Handle what the routers send, in batches."""
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -92,7 +92,11 @@
         if record.cold_seconds:
             known.warm_at = now + record.cold_seconds
         self.by_name[record.name] = known
-        self.by_echo[known.echo] = known
+        holder = self.by_echo.get(known.echo)
+        # Of two upstreams with one echo the lower name keeps it, on every
+        # node alike; the other gets no flows, as their packets would go astray.
+        if holder is None or record.name <= holder.record.name:
+            self.by_echo[known.echo] = known
 
     def lose(self, name: str, now: float) -> bool:
         """Take note that an entry vanished; return True if it was there."""
@@ -119,6 +123,8 @@
                 continue
             if record.state is not UpstreamState.READY:
                 continue
+            if self.by_echo.get(known.echo) is not known:
+                continue
             if self.presence(known, now) is not Presence.GONE:
                 yield known
 
--- a/burdocksill/platform/records.py
+++ b/burdocksill/platform/records.py
@@ -79,19 +79,15 @@
 
 def take(found: dict[str, Any], name: str, kind: type, fallback: Any) -> Any:
     """Return a field of a kind; a fallback of None means it is required."""
-    field = found.get(name, fallback)
+    field: Any = found.get(name, fallback)
     if kind is float and isinstance(field, int):
         field = float(field)
-    if not isinstance(field, kind) or isinstance(field, bool):
+    wrong = not isinstance(field, kind) or isinstance(field, bool)
+    if wrong or (kind is float and not math.isfinite(field)):
         raise RecordInvalidError(
             message=f'{name} is {field!r}, not a {kind.__name__}',
             hint='the entry is passed over until it is written again',
         )
-    if kind is float and not math.isfinite(field):
-        raise RecordInvalidError(
-            message=f'{name} is {field!r}',
-            hint='the entry is passed over until it is written again',
-        )
     return field
 
 
@@ -103,7 +99,9 @@
     idle = take(limits, 'IdleTimeoutMs', float, DEFAULT_IDLE_MILLISECONDS)
     return Manifest(
         version=take(found, 'Version', int, None),
-        routes=tuple(read_route(one) for one in take(found, 'Routes', list, [])),
+        routes=tuple(
+            read_route(one) for one in take(found, 'Routes', list, [])
+        ),
         services={
             take(one, 'Name', str, None): read_limits(one) for one in services
         },
