Play the packet path in a small world; put silent upstreams aside; refuse odd values

A manifest with a number in a list ended the process that read it. An upstream that was called dark lost the signs of its silence with its flows, so that it seemed the least loaded and each new flow waited 0.2 s on it. Odd base64 and odd lists in the store's answers were read as values or ended the process.

Change: rows of lists are checked, dark upstreams are put aside, base64 is read strictly. The lab gains clients, upstreams, routers and a store of this platform; features play flows, the list, routes, placement and the store.

--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -165,6 +165,9 @@
         """
         health = upstream.health
         if health.is_dark(now):
+            # Once its flows are ended nothing else would tell that it is
+            # silent, and with no flow left it would seem the least loaded.
+            health.put_aside(now)
             return Reason.UPSTREAM_DARK
         gone = self.upstreams.presence(upstream, now) is Presence.GONE
         if gone and health.silent:
--- a/burdocksill/packets/health.py
+++ b/burdocksill/packets/health.py
@@ -69,9 +69,13 @@
         """Put it aside after an opening it did not answer; True if it was."""
         if self.heard_at > sent_at or now < self.aside_until:
             return False
+        self.put_aside(now)
+        return True
+
+    def put_aside(self, now: float) -> None:
+        """Keep new flows away for a pause that grows each time."""
         self.aside_until = now + self.pause
         self.pause = min(self.pause * 2, LONGEST_PAUSE_SECONDS)
-        return True
 
     def took(self, seconds: float) -> None:
         """Learn how long an answer took whose request was sent once."""
--- a/burdocksill/platform/calls.py
+++ b/burdocksill/platform/calls.py
@@ -74,7 +74,12 @@
 
 def decode_items(answer: dict[str, Any], name: str) -> list[StoredValue]:
     """Read a list of items."""
-    found = answer.get(name) or []
+    found = answer.get(name, [])
+    if not isinstance(found, list):
+        raise PlatformReplyError(
+            message=f'{name} is {found!r}',
+            hint='check that the address is that of the store',
+        )
     return [decode_item(item) for item in found]
 
 
@@ -94,7 +99,10 @@
     try:
         return StoredValue(
             key=str(item['Key']),
-            value=base64.b64decode(item.get('Value') or ''),
+            value=base64.b64decode(
+                item.get('Value') or '',
+                validate=True,
+            ),
             revision=int(item.get('Rev', 0)),
             removed=bool(item.get('Removed')),
         )
--- a/burdocksill/platform/records.py
+++ b/burdocksill/platform/records.py
@@ -91,17 +91,26 @@
     return field
 
 
+def take_rows(found: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    """Return a list of objects, empty where there is none."""
+    rows: list[Any] = take(found, name, list, [])
+    if not all(isinstance(row, dict) for row in rows):
+        raise RecordInvalidError(
+            message=f'{name} holds something else than objects',
+            hint='the entry is passed over until it is written again',
+        )
+    return rows
+
+
 def read_manifest(value: bytes) -> Manifest:
     """Read the operators' configuration, whole or not at all."""
     found = read_object(value)
-    services = take(found, 'Services', list, [])
+    services = take_rows(found, 'Services')
     limits = take(found, 'Limits', dict, {})
     idle = take(limits, 'IdleTimeoutMs', float, DEFAULT_IDLE_MILLISECONDS)
     return Manifest(
         version=take(found, 'Version', int, None),
-        routes=tuple(
-            read_route(one) for one in take(found, 'Routes', list, [])
-        ),
+        routes=tuple(read_route(one) for one in take_rows(found, 'Routes')),
         services={
             take(one, 'Name', str, None): read_limits(one) for one in services
         },
@@ -132,7 +141,7 @@
 
 def read_shares(found: dict[str, Any]) -> tuple[Share, ...]:
     """Read the services of a route, by weight if there are several."""
-    split = take(found, 'TrafficSplit', list, [])
+    split = take_rows(found, 'TrafficSplit')
     if not split:
         return (Share(service=take(found, 'Service', str, None)),)
     return tuple(
--- /dev/null
+++ b/burdocksill_lab/packets/world.py
@@ -0,0 +1,247 @@
+"""A whole packet world on virtual time: nodes run the product's own code."""
+
+import json
+import zlib
+from collections.abc import Iterator
+from random import Random
+from typing import Any, Final
+
+import attrs
+
+from burdocksill.network.addresses import Address as Place
+from burdocksill.packets.core import PacketCore, make_core
+from burdocksill.packets.header import HEADER, Packet, dotted, undotted
+from burdocksill.packets.settings import PacketSettings
+from burdocksill.platform.protocols import Snapshot, StoredValue
+from burdocksill.platform.records import (
+    DOMAINS_OUT,
+    MANIFEST,
+    UPSTREAMS,
+    decode,
+)
+from burdocksill_lab.packets.client import ClientFlow
+from burdocksill_lab.packets.network import (
+    Address,
+    DatagramNetwork,
+    MemorySocket,
+    Timeline,
+)
+from burdocksill_lab.packets.upstream import LabUpstream, names
+
+PORT: Final = 8172
+ROUTE_HOST: Final = '198.18.0.1'
+ROUTE_PORT: Final = 8443
+UPSTREAM_PORT: Final = 8080
+FIRST_CLIENT_PORT: Final = 1024
+
+
+@attrs.define(kw_only=True)
+class LabNode:
+    """Hold a node of the world; a stopped one loses what reaches it."""
+
+    name: str
+    domain: str
+    address: Address
+    core: PacketCore
+    timeline: Timeline
+    alive: bool = True
+    # A node that is cut off from the store hears no changes.
+    follows: bool = True
+
+    def receive(self, payload: bytes, _: Address) -> None:
+        """Handle a datagram at once."""
+        if self.alive:
+            self.core.handle(payload, self.timeline.now)
+
+
+@attrs.define(kw_only=True)
+class PacketWorld:
+    """Hold clients, routers, nodes, upstreams and the store's content."""
+
+    seed: int
+    timeline: Timeline = attrs.field(factory=Timeline)
+    network: DatagramNetwork = attrs.field(init=False)
+    rng: Random = attrs.field(init=False)
+    nodes: list[LabNode] = attrs.field(factory=list)
+    upstreams: dict[str, LabUpstream] = attrs.field(factory=dict)
+    clients: dict[tuple[int, ...], ClientFlow] = attrs.field(factory=dict)
+    store: dict[str, bytes] = attrs.field(factory=dict)
+    revision: int = 10
+    ports: int = FIRST_CLIENT_PORT
+    fresh_names: Iterator[str] = attrs.field(factory=lambda: names('i'))
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the network."""
+        self.rng = Random(self.seed)
+        self.network = DatagramNetwork(timeline=self.timeline)
+
+    def add_node(self, domain: str) -> LabNode:
+        """Start a node that has read the store."""
+        host = f'10.1.0.{len(self.nodes) + 1}'
+        address = (host, PORT)
+        settings = PacketSettings(
+            name=f'entry-{len(self.nodes) + 1}',
+            domain=domain,
+            listen=Place(host, PORT),
+            ready=Place(host, 1),
+            platform=Place('10.200.0.1', 1),
+        )
+        socket: Any = MemorySocket(network=self.network, address=address)
+        node = LabNode(
+            name=settings.name,
+            domain=domain,
+            address=address,
+            timeline=self.timeline,
+            core=make_core(
+                settings=settings,
+                datagrams=socket,
+                decode=decode,
+                rng=Random(self.rng.random()),
+            ),
+        )
+        self.nodes.append(node)
+        self.network.receivers[address] = node.receive
+        self.read_whole(node)
+        return node
+
+    def add_upstream(
+        self,
+        domain: str,
+        service: str = 'ledger',
+        **fields: Any,
+    ) -> LabUpstream:
+        """Start an upstream and register it."""
+        upstream = LabUpstream(
+            name=next(self.fresh_names),
+            address=(f'10.2.0.{len(self.upstreams) + 1}', UPSTREAM_PORT),
+            service=service,
+            domain=domain,
+            timeline=self.timeline,
+            network=self.network,
+            client_port=PORT,
+            **fields,
+        )
+        self.upstreams[upstream.name] = upstream
+        self.network.receivers[upstream.address] = upstream.receive
+        self.register(upstream)
+        return upstream
+
+    def register(self, upstream: LabUpstream, state: str = 'ready') -> None:
+        """Write an upstream's entry."""
+        value = json.dumps(upstream.entry(state)).encode()
+        self.put(UPSTREAMS + upstream.name, value)
+
+    def deregister(self, upstream: LabUpstream) -> None:
+        """Remove an upstream's entry."""
+        self.remove(UPSTREAMS + upstream.name)
+
+    def put_manifest(
+        self,
+        version: int,
+        routes: dict[int, str],
+        cold_per_second: float = 0,
+    ) -> None:
+        """Write a manifest that sends ports to services."""
+        services = sorted(set(routes.values()))
+        manifest = {
+            'Version': version,
+            'Routes': [
+                {
+                    'Name': f'r-{port}',
+                    'Hostname': ROUTE_HOST,
+                    'Prefix': f'/{port}/',
+                    'Service': service,
+                }
+                for port, service in routes.items()
+            ],
+            'Services': [
+                {'Name': name, 'WarmupS': 2.0, 'ColdPerS': cold_per_second}
+                for name in services
+            ],
+            'Limits': {'IdleTimeoutMs': 15000},
+        }
+        self.put(MANIFEST, json.dumps(manifest).encode())
+
+    def take_out(self, domain: str) -> None:
+        """Take a failure domain out."""
+        self.put(DOMAINS_OUT + domain, b'{}')
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key and let the nodes hear of it."""
+        self.store[key] = value
+        self.revision += 1
+        self.tell(StoredValue(key=key, value=value, revision=self.revision))
+
+    def remove(self, key: str) -> None:
+        """Remove a key and let the nodes hear of it."""
+        del self.store[key]
+        self.revision += 1
+        gone = StoredValue(
+            key=key,
+            value=b'',
+            revision=self.revision,
+            removed=True,
+        )
+        self.tell(gone)
+
+    def tell(self, change: StoredValue) -> None:
+        """Let the nodes that follow the store learn of a change."""
+        found = Snapshot(values=(change,), revision=self.revision)
+        for node in self.nodes:
+            if node.follows:
+                node.core.learner.learn_values(found, self.timeline.now)
+
+    def read_whole(self, node: LabNode) -> None:
+        """Let a node read everything that stands in the store."""
+        values = tuple(
+            StoredValue(key=key, value=value, revision=self.revision)
+            for key, value in self.store.items()
+        )
+        found = Snapshot(values=values, revision=self.revision)
+        node.core.learner.learn_all(found, self.timeline.now)
+        node.core.progress.reach(self.revision, self.timeline.now)
+
+    def open_flow(self, domain: str, port: int = ROUTE_PORT) -> ClientFlow:
+        """Prepare a client's flow; its first request opens it."""
+        self.ports += 1
+        host = f'100.64.0.{sum(domain.encode()) % 200 + 1}'
+        key = (undotted(host), self.ports, undotted(ROUTE_HOST), port)
+        flow = ClientFlow(
+            key=key,
+            timeline=self.timeline,
+            send=lambda payload, flow: self.route(domain, payload, flow),
+        )
+        self.clients[key] = flow
+        self.network.receivers[(host, PORT)] = self.receive
+        return flow
+
+    def receive(self, payload: bytes, _: Address) -> None:
+        """Hand a packet to the client's flow that it is for."""
+        packet = Packet(*HEADER.unpack_from(payload))
+        # Towards a client the route is the sender, so the pairs stand swapped.
+        key = (packet.address, packet.port, packet.client, packet.client_port)
+        flow = self.clients.get(key)
+        if flow is not None:
+            flow.receive(packet)
+
+    def route(
+        self,
+        domain: str,
+        payload: bytes,
+        flow: tuple[int, int, int, int],
+    ) -> None:
+        """Send a packet to a node of the client's domain, by a hash."""
+        near = [node for node in self.nodes if node.domain == domain]
+        living = [node for node in near if node.alive] or self.nodes
+        digest = zlib.crc32(repr(flow).encode())
+        node = living[digest % len(living)]
+        source = (dotted(flow[0]), PORT)
+        self.network.send(payload, source, node.address)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, with the store read as often as nodes do."""
+        for _ in range(round(seconds * 10)):
+            self.timeline.run(0.1)
+            for node in self.nodes:
+                if node.follows and node.alive:
+                    node.core.progress.current_at = self.timeline.now - 0.01
--- /dev/null
+++ b/tests/steps/packets_world.py
@@ -0,0 +1,547 @@
+"""Steps that play clients, upstreams and nodes of the packet path."""
+
+import json
+from collections import Counter
+
+from behave import given, then, when
+from behave.runner import Context
+
+from burdocksill.platform.protocols import Snapshot, StoredValue
+from burdocksill.platform.records import (
+    DOMAINS_OUT,
+    MANIFEST,
+    UPSTREAMS,
+)
+from burdocksill_lab.packets.client import ClientFlow, Outcome
+from burdocksill_lab.packets.upstream import Condition, LabUpstream
+from burdocksill_lab.packets.world import ROUTE_PORT, LabNode, PacketWorld
+
+# Longer than any deadline of a client.
+SETTLE_SECONDS = 1.5
+
+
+def world_of(context: Context) -> PacketWorld:
+    """Return the scenario's world, made when it is first asked for."""
+    if not hasattr(context, 'packets'):
+        world = PacketWorld(seed=context.seed)
+        world.put_manifest(5, {ROUTE_PORT: 'ledger'})
+        context.packets = world
+        context.flows = []
+        context.fresh = []
+        context.marked = None
+        context.since = 0.0
+    return context.packets
+
+
+def upstreams_of(context: Context, domain: str) -> list[LabUpstream]:
+    """Return the upstreams of a failure domain."""
+    world = world_of(context)
+    return [one for one in world.upstreams.values() if one.domain == domain]
+
+
+def node_of(context: Context, domain: str) -> LabNode:
+    """Return the first node of a failure domain."""
+    return next(one for one in world_of(context).nodes if one.domain == domain)
+
+
+def open_flows(
+    context: Context,
+    count: int,
+    domain: str,
+    *,
+    port: int = ROUTE_PORT,
+    gap: float = 0.0,
+) -> None:
+    """Send a first request on new flows."""
+    world = world_of(context)
+    context.fresh = [world.open_flow(domain, port) for _ in range(count)]
+    for flow in context.fresh:
+        flow.request()
+        world.timeline.run(gap)
+
+
+def on_marked(context: Context) -> list[ClientFlow]:
+    """Return the open flows on the upstream that the scenario speaks of."""
+    return [
+        flow
+        for flow in context.flows
+        if flow.echo == context.marked.tag & 0xFFFFFFFF
+    ]
+
+
+def mark(context: Context, upstream: LabUpstream) -> None:
+    """Speak of one upstream from here on."""
+    context.marked = upstream
+    context.since = world_of(context).timeline.now
+
+
+def busiest(context: Context) -> LabUpstream:
+    """Return the upstream with the most flows."""
+    return max(
+        world_of(context).upstreams.values(),
+        key=lambda one: len(one.flows),
+    )
+
+
+@given('a domain "{domain}" with {nodes:d} node and {count:d} upstreams')
+@given('a domain "{domain}" with {nodes:d} nodes and {count:d} upstreams')
+@given('a domain "{domain}" with {nodes:d} node and {count:d} upstream')
+def make_domain(context: Context, domain: str, nodes: int, count: int) -> None:
+    """Start nodes and upstreams."""
+    world = world_of(context)
+    for _ in range(count):
+        world.add_upstream(domain)
+    for _ in range(nodes):
+        world.add_node(domain)
+
+
+@given('a domain "{domain}" with {nodes:d} node and no upstreams')
+@given('a domain "{domain}" with {nodes:d} nodes and no upstreams')
+def make_empty_domain(context: Context, domain: str, nodes: int) -> None:
+    """Start nodes alone."""
+    make_domain(context, domain, nodes, 0)
+
+
+@given(
+    'a domain "{domain}" with 1 node and 1 upstream '
+    'that works {work:f} seconds',
+)
+def make_slow_domain(context: Context, domain: str, work: float) -> None:
+    """Start an upstream that takes long for each request."""
+    world = world_of(context)
+    world.add_upstream(domain, work_seconds=work, slots=8)
+    world.add_node(domain)
+
+
+@given('an upstream of service "{service}" in "{domain}"')
+def make_other(context: Context, service: str, domain: str) -> None:
+    """Start an upstream of another service."""
+    context.other = world_of(context).add_upstream(domain, service)
+
+
+@given('two upstreams in "{domain}" whose names end alike')
+def make_colliding(context: Context, domain: str) -> None:
+    """Start two upstreams that agree in 32 bits."""
+    world = world_of(context)
+    world.fresh_names = iter(('i-1100000007', 'i-2200000007'))
+    context.twins = [world.add_upstream(domain) for _ in range(2)]
+
+
+@given('a cold upstream in "{domain}" that bears {count:d} flows a second')
+def make_cold(context: Context, domain: str, count: int) -> None:
+    """Start an upstream that reports that it is cold."""
+    world = world_of(context)
+    world.put_manifest(6, {ROUTE_PORT: 'ledger'}, cold_per_second=count)
+    upstream = world.add_upstream(domain)
+    entry = {**upstream.entry('ready'), 'WarmupMs': 5000}
+    world.put(UPSTREAMS + upstream.name, json.dumps(entry).encode())
+    context.marked = upstream
+
+
+@given(
+    'port {port:d} goes to "{one}" and "{two}" with weights {w1:d} and {w2:d}'
+)
+def split_route(
+    context: Context,
+    port: int,
+    one: str,
+    two: str,
+    w1: int,
+    w2: int,
+) -> None:
+    """Write a manifest whose route has two services."""
+    world = world_of(context)
+    world.put_manifest(6, {port: one})
+    manifest = json.loads(world.store[MANIFEST])
+    route = manifest['Routes'][0]
+    del route['Service']
+    route['TrafficSplit'] = [
+        {'Service': one, 'Weight': w1},
+        {'Service': two, 'Weight': w2},
+    ]
+    manifest['Version'] = 7
+    world.put(MANIFEST, json.dumps(manifest).encode())
+
+
+@given('{count:d} open flows in "{domain}"')
+def make_flows(context: Context, count: int, domain: str) -> None:
+    """Open flows; each has had a few answers."""
+    world = world_of(context)
+    open_flows(context, count, domain)
+    world.run(SETTLE_SECONDS)
+    for _ in range(3):
+        for flow in context.fresh:
+            flow.request()
+        world.run(SETTLE_SECONDS)
+    context.flows = context.fresh
+    context.fresh = []
+    assert all(flow.open and not flow.ended for flow in context.flows)
+
+
+@given(
+    'version {version:d} sends port 8443 to "ledger" and port 8080 to "ledger"'
+)
+def put_two_routes(context: Context, version: int) -> None:
+    """Write a manifest with two routes."""
+    world_of(context).put_manifest(version, {8443: 'ledger', 8080: 'ledger'})
+
+
+@when('version {version:d} sends port {port:d} to "{service}"')
+def put_route(context: Context, version: int, port: int, service: str) -> None:
+    """Write a manifest with one route."""
+    world_of(context).put_manifest(version, {port: service})
+
+
+@when('version {version:d} with no route for port 8080 arrives late')
+def put_late(context: Context, version: int) -> None:
+    """Hand an older manifest to the nodes."""
+    world = world_of(context)
+    text = json.loads(world.store[MANIFEST])
+    text['Version'] = version
+    text['Routes'] = [
+        route for route in text['Routes'] if route['Prefix'] != '/8080/'
+    ]
+    late = StoredValue(
+        key=MANIFEST,
+        value=json.dumps(text).encode(),
+        revision=world.revision - 1,
+    )
+    found = Snapshot(values=(late,), revision=world.revision)
+    for node in world.nodes:
+        node.core.learner.learn_values(found, world.timeline.now)
+
+
+@when('the manifest {text} is written')
+def put_rubbish(context: Context, text: str) -> None:
+    """Write a manifest that can't be read."""
+    world_of(context).put(MANIFEST, text.encode())
+
+
+@when('operators take "{domain}" out')
+def take_out(context: Context, domain: str) -> None:
+    """Take a failure domain out."""
+    world = world_of(context)
+    world.take_out(domain)
+    context.since = world.timeline.now
+
+
+@when('the node of "{domain}" misses "{out}" put back and reads everything')
+def miss_and_read(context: Context, domain: str, out: str) -> None:
+    """Remove the order while the node hears nothing."""
+    world = world_of(context)
+    node = node_of(context, domain)
+    node.follows = False
+    world.remove(DOMAINS_OUT + out)
+    world.run(1.0)
+    node.follows = True
+    world.read_whole(node)
+
+
+@when('the node of "{domain}" is cut off from the store')
+def cut_from_store(context: Context, domain: str) -> None:
+    """Let a node hear no changes."""
+    node = node_of(context, domain)
+    node.follows = False
+    node.core.learner.lose_touch()
+
+
+@when('the node of "{domain}" is started anew')
+def restart_node(context: Context, domain: str) -> None:
+    """Replace a node by one that knows only what the store says now."""
+    world = world_of(context)
+    old = node_of(context, domain)
+    old.alive = False
+    world.nodes.remove(old)
+    world.add_node(domain)
+
+
+@when('a node of "{domain}" loses power')
+def lose_node(context: Context, domain: str) -> None:
+    """Take a node away; routers turn to the others."""
+    node_of(context, domain).alive = False
+
+
+@when('an upstream falls silent')
+def fall_silent(context: Context) -> None:
+    """Let the upstream with the most flows lose power."""
+    mark(context, busiest(context))
+    context.marked.condition = Condition.DARK
+
+
+@when('all upstreams fall silent and their entries are removed')
+def all_gone(context: Context) -> None:
+    """Let every upstream leave for good."""
+    world = world_of(context)
+    for upstream in world.upstreams.values():
+        upstream.condition = Condition.DARK
+        world.deregister(upstream)
+
+
+@when('its entry is removed')
+def remove_entry(context: Context) -> None:
+    """Remove the entry of the upstream that fell silent."""
+    world_of(context).deregister(context.marked)
+
+
+@when('its entry is removed for one upstream')
+def remove_one_entry(context: Context) -> None:
+    """Remove the entry of an upstream that lives."""
+    mark(context, busiest(context))
+    world_of(context).deregister(context.marked)
+
+
+@when('all entries lapse')
+def lapse(context: Context) -> None:
+    """Empty the list, as nodes find it when the store is back."""
+    world = world_of(context)
+    for node in world.nodes:
+        node.core.learner.lose_touch()
+    for upstream in world.upstreams.values():
+        del world.store[UPSTREAMS + upstream.name]
+    for node in world.nodes:
+        world.read_whole(node)
+
+
+@when('all entries are written again')
+def write_again(context: Context) -> None:
+    """Let every upstream register."""
+    world = world_of(context)
+    for upstream in world.upstreams.values():
+        world.register(upstream)
+
+
+@when('an upstream drains')
+def drain(context: Context) -> None:
+    """Let an upstream say that it leaves."""
+    mark(context, busiest(context))
+    world_of(context).register(context.marked, 'draining')
+
+
+@when('it starts again under its name')
+def start_again(context: Context) -> None:
+    """Start a new process with the name of the old one."""
+    world = world_of(context)
+    upstream = context.marked
+    upstream.restart()
+    upstream.condition = Condition.WELL
+    value = json.dumps(upstream.entry('ready', born=2)).encode()
+    world.put(UPSTREAMS + upstream.name, value)
+
+
+@when('somebody writes the entry {entry}')
+def write_entry(context: Context, entry: str) -> None:
+    """Write an entry that names nothing usable."""
+    world_of(context).put(f'{UPSTREAMS}i-00000000ff', entry.encode())
+
+
+@when('the entry of one upstream is overwritten with rubbish')
+def overwrite(context: Context) -> None:
+    """Overwrite an entry."""
+    mark(context, busiest(context))
+    world_of(context).put(UPSTREAMS + context.marked.name, b'\xff\x00')
+
+
+@when('the answers to one client are lost')
+def cut_client(context: Context) -> None:
+    """Let one flow get nothing any more."""
+    flow = context.flows[0]
+    context.cut = flow
+    del world_of(context).clients[flow.key]
+
+
+@when('that client sends a request')
+def cut_client_sends(context: Context) -> None:
+    """Send on the flow that gets no answers."""
+    context.cut.request()
+
+
+@when('every flow sends a request')
+def all_send(context: Context) -> None:
+    """Send on each open flow."""
+    for flow in [*context.flows, *context.fresh]:
+        if flow.waiting is None:
+            flow.request()
+    world_of(context).timeline.run(0.001)
+
+
+@when('{count:d} flows on it send a request')
+@when('{count:d} flow on it sends a request')
+def some_send(context: Context, count: int) -> None:
+    """Send on a few flows of the upstream that is spoken of."""
+    flows = on_marked(context)
+    assert len(flows) > count, len(flows)
+    for flow in flows[:count]:
+        flow.request()
+        world_of(context).timeline.run(0.01)
+
+
+@when('{count:d} new flows in "{domain}" send a request')
+def new_flows(context: Context, count: int, domain: str) -> None:
+    """Open flows by a request each."""
+    open_flows(context, count, domain, gap=0.01)
+
+
+@when(
+    '{count:d} new flows in "{domain}" send a request, one each {gap:f} seconds'
+)
+def paced_flows(context: Context, count: int, domain: str, gap: float) -> None:
+    """Open flows at a pace."""
+    open_flows(context, count, domain, gap=gap)
+
+
+@when('{count:d} new flows in "{domain}" to port {port:d} send a request')
+def flows_to_port(context: Context, count: int, domain: str, port: int) -> None:
+    """Open flows to another port."""
+    open_flows(context, count, domain, port=port)
+
+
+@when('{seconds:f} seconds pass')
+@when('{seconds:d} seconds pass')
+def wait(context: Context, seconds: float) -> None:
+    """Let time pass."""
+    world_of(context).run(seconds)
+
+
+@then('every request is served')
+def check_all_served(context: Context) -> None:
+    """Look at each request of each flow."""
+    world_of(context).run(SETTLE_SECONDS)
+    outcomes = Counter(
+        request.outcome
+        for flow in [*context.flows, *context.fresh]
+        for request in flow.requests
+    )
+    assert set(outcomes) == {Outcome.SERVED}, outcomes
+
+
+@then('every new request is served within {limit:f} seconds')
+@then('every new request is served within {limit:d} seconds')
+def check_new_served(context: Context, limit: float) -> None:
+    """Look at the requests of the flows that were opened last."""
+    world_of(context).run(SETTLE_SECONDS)
+    for flow in context.fresh:
+        request = flow.requests[0]
+        took = request.ended_at - request.sent_at
+        assert request.outcome is Outcome.SERVED, request
+        assert took <= limit, took
+
+
+@then('the last {count:d} requests are served')
+def check_last_served(context: Context, count: int) -> None:
+    """Look at the flows that were opened last."""
+    world_of(context).run(SETTLE_SECONDS)
+    found = [flow.requests[0].outcome for flow in context.fresh]
+    assert found == [Outcome.SERVED] * count, found
+
+
+@then('all flows on it were ended by a node')
+def check_marked_reset(context: Context) -> None:
+    """Look for the resets of one upstream's flows."""
+    flows = on_marked(context)
+    assert flows
+    kept = [flow.key for flow in flows if not flow.system_reset]
+    assert not kept, f'{len(kept)} of {len(flows)} flows still open'
+
+
+@then('no flow on another upstream was ended')
+def check_others_open(context: Context) -> None:
+    """Look for resets where nothing is wrong."""
+    marked = on_marked(context)
+    others = [flow for flow in context.flows if flow not in marked]
+    assert others
+    assert not any(flow.ended for flow in others)
+
+
+@then('no flow was ended by a node')
+def check_none_reset(context: Context) -> None:
+    """Look for any reset."""
+    flows = [*context.flows, *context.fresh]
+    assert not [flow.key for flow in flows if flow.system_reset]
+
+
+@then('every flow was ended by a node')
+def check_all_reset(context: Context) -> None:
+    """Look for a reset of each open flow."""
+    assert all(flow.system_reset for flow in context.flows)
+
+
+@then('every new flow was ended by a node')
+def check_fresh_reset(context: Context) -> None:
+    """Look for a reset of each flow that was opened last."""
+    assert all(flow.system_reset for flow in context.fresh)
+
+
+@then('the draining upstream got no opening since')
+@then('that upstream got no opening since')
+def check_no_opening(context: Context) -> None:
+    """Look at the openings of the upstream that is spoken of."""
+    late = [at for at in context.marked.opened if at > context.since]
+    assert not late, late
+
+
+@then('upstreams of "{domain}" got no opening since')
+def check_domain_since(context: Context, domain: str) -> None:
+    """Look at the openings of a domain."""
+    for upstream in upstreams_of(context, domain):
+        late = [at for at in upstream.opened if at > context.since]
+        assert not late, (upstream.name, late)
+
+
+@then('upstreams of "{domain}" got no opening')
+def check_domain_unused(context: Context, domain: str) -> None:
+    """Look for any opening in a domain."""
+    assert not any(one.opened for one in upstreams_of(context, domain))
+
+
+@then('upstreams of "{domain}" got at least {count:d} openings')
+def check_domain_used(context: Context, domain: str, count: int) -> None:
+    """Count the openings of a domain."""
+    got = sum(len(one.opened) for one in upstreams_of(context, domain))
+    assert got >= count, got
+
+
+@then(
+    'no upstream of "{domain}" has over {factor:f} times the mean of openings'
+)
+def check_even(context: Context, domain: str, factor: float) -> None:
+    """Compare the busiest upstream with the mean."""
+    world_of(context).run(SETTLE_SECONDS)
+    counts = [len(one.opened) for one in upstreams_of(context, domain)]
+    assert max(counts) <= factor * sum(counts) / len(counts), counts
+
+
+@then('it got at most {count:d} openings in any second')
+def check_cold(context: Context, count: int) -> None:
+    """Slide a second over the openings."""
+    world_of(context).run(SETTLE_SECONDS)
+    opened = context.marked.opened
+    most = max(
+        sum(1 for other in opened if at <= other < at + 1) for at in opened
+    )
+    assert most <= count, most
+
+
+@then('"{service}" got between {low:d} and {high:d} openings')
+def check_share(context: Context, service: str, low: int, high: int) -> None:
+    """Count the openings of a service."""
+    world = world_of(context)
+    world.run(SETTLE_SECONDS)
+    got = sum(
+        len(one.opened)
+        for one in world.upstreams.values()
+        if one.service == service
+    )
+    assert low <= got <= high, got
+
+
+@then('the upstream of "{service}" ran {count:d} requests')
+def check_other_ran(context: Context, service: str, count: int) -> None:
+    """Count the requests of the other service."""
+    assert context.other.service == service
+    assert context.other.ran == count, context.other.ran
+
+
+@then('one of the two took no flow')
+def check_twins(context: Context) -> None:
+    """Look at the two upstreams with one echo."""
+    assert sorted(bool(one.opened) for one in context.twins) == [False, True]
--- /dev/null
+++ b/tests/steps/platform_store.py
@@ -0,0 +1,321 @@
+"""Steps about the client of the users' store."""
+
+import json
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from burdocksill.exceptions import BurdocksillError
+from burdocksill.network.addresses import Address
+from burdocksill.network.exchange import HttpReply
+from burdocksill.network.http import HttpConnection
+from burdocksill.network.sockets import SocketNetwork
+from burdocksill.packets.core import Progress
+from burdocksill.packets.follower import Follower
+from burdocksill.packets.learner import Learner
+from burdocksill.packets.placement import PacketPlacer
+from burdocksill.packets.routing import RoutingTable
+from burdocksill.packets.upstreams import Upstreams
+from burdocksill.platform.calls import range_pages
+from burdocksill.platform.records import EVERYTHING, MANIFEST, decode
+from burdocksill.platform.store import StorePlatform
+from burdocksill_lab.packets.store import LabStore, Trouble
+
+Work = Callable[[StorePlatform], Awaitable[Any]]
+
+
+def with_store(context: Context, work: Work) -> Any:
+    """Serve the scenario's store while some work is done with a client."""
+
+    async def main() -> Any:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        port = listeners[0].socket.getsockname()[1]
+        connection = HttpConnection(
+            network=SocketNetwork(),
+            remote=Address('127.0.0.1', port),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                trio.serve_listeners,
+                context.store.serve,
+                listeners,
+            )
+            result = await work(StorePlatform(connection=connection))
+            await connection.close()
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(main)
+
+
+@given('a store with {count:d} keys in pages of {page:d}')
+def make_store(context: Context, count: int, page: int) -> None:
+    """Fill a store."""
+    context.store = LabStore(page_items=page)
+    for number in range(count):
+        context.store.put(f'servers/i-{number:05}', b'{}')
+
+
+@given('a store with the keys "{a}", "{b}", "{c}", "{d}" in pages of {page:d}')
+def make_odd(
+    context: Context,
+    a: str,
+    b: str,
+    c: str,
+    d: str,
+    page: int,
+) -> None:
+    """Fill a store with odd keys."""
+    context.store = LabStore(page_items=page)
+    for key in (a, b, c, d):
+        context.store.put(key, b'{}')
+
+
+@when('everything is read')
+def read_all(context: Context) -> None:
+    """Read every key."""
+
+    async def work(platform: StorePlatform) -> Any:
+        return await platform.read_prefix(EVERYTHING)
+
+    context.found = with_store(context, work)
+    context.reading_calls = len(context.store.calls)
+
+
+@then('{count:d} values were read in {calls:d} calls')
+def check_read(context: Context, count: int, calls: int) -> None:
+    """Count values and calls."""
+    assert len({one.key for one in context.found.values}) == count
+    assert context.reading_calls == calls, context.reading_calls
+
+
+@when('a key is written and another removed')
+def change_store(context: Context) -> None:
+    """Change two keys."""
+    context.store.put('servers/new', b'{}')
+    context.store.remove('servers/i-00000')
+
+
+@when('a key is written and the history dropped')
+def drop_history(context: Context) -> None:
+    """Forget a change."""
+    context.store.put('servers/new', b'{}')
+    context.store.compact()
+
+
+def next_changes(context: Context) -> Any:
+    """Wait for the changes after the reading."""
+
+    async def work(platform: StorePlatform) -> Any:
+        after = context.found.revision
+        try:
+            return await platform.changes(prefix=EVERYTHING, after=after)
+        except BurdocksillError as error:
+            return error
+
+    return with_store(context, work)
+
+
+@then('the next changes are one written and one removed key')
+def check_changes(context: Context) -> None:
+    """Look at both changes."""
+    found = next_changes(context).values
+    shown = [(one.key, one.removed) for one in found]
+    assert shown == [('servers/new', False), ('servers/i-00000', True)], shown
+
+
+@then('the next changes are none')
+def check_no_changes(context: Context) -> None:
+    """Look for an empty answer."""
+    found = next_changes(context)
+    assert not found.values
+    assert found.revision == context.found.revision
+
+
+@then('the next changes fail with "{code}"')
+def check_changes_fail(context: Context, code: str) -> None:
+    """Look for the error."""
+    error = next_changes(context)
+    assert getattr(error, 'code', 'none') == code, error
+
+
+@when('the store\'s trouble is "{name}"')
+def set_trouble(context: Context, name: str) -> None:
+    """Let the store misbehave."""
+    context.store.trouble = Trouble(name)
+
+
+@then('a reading fails with "{code}" within {limit:f} seconds')
+def check_reading_fails(context: Context, code: str, limit: float) -> None:
+    """Look for the error and its time."""
+
+    async def work(platform: StorePlatform) -> Any:
+        began = trio.current_time()
+        try:
+            await platform.read_prefix(EVERYTHING)
+        except BurdocksillError as error:
+            return error.code, trio.current_time() - began
+        return 'none', 0
+
+    found, took = with_store(context, work)
+    assert found == code, found
+    assert took <= limit, took
+
+
+@then('a reading succeeds')
+def check_reading(context: Context) -> None:
+    """Read again."""
+    read_all(context)
+    assert context.found.values
+
+
+@when("a write's answer is lost")
+def lose_answer(context: Context) -> None:
+    """Write while answers to writes are lost."""
+    context.store.trouble = Trouble.LOST
+
+    async def work(platform: StorePlatform) -> Any:
+        return await platform.swap(
+            key='burdocksill/x',
+            value=b'mine',
+            expected_revision=0,
+        )
+
+    context.swapped = with_store(context, work)
+
+
+@then('the write counts as accepted')
+def check_accepted(context: Context) -> None:
+    """Look at the outcome."""
+    assert context.swapped.accepted
+    assert context.swapped.current.value == b'mine'
+
+
+@when('a key is written by two under one condition')
+def write_twice(context: Context) -> None:
+    """Write the same key twice as if it were new."""
+
+    async def work(platform: StorePlatform) -> Any:
+        return [
+            await platform.swap(
+                key='burdocksill/x',
+                value=value,
+                expected_revision=0,
+            )
+            for value in (b'first', b'second')
+        ]
+
+    context.swaps = with_store(context, work)
+
+
+@then('the second is told what the first wrote')
+def check_second(context: Context) -> None:
+    """Look at both outcomes."""
+    first, second = context.swaps
+    assert first.accepted
+    assert not second.accepted
+    assert second.current.value == b'first'
+
+
+@when('the store answers a reading with {body}')
+def answer_with(context: Context, body: str) -> None:
+    """Hand an answer to the reading."""
+    pages = range_pages(EVERYTHING)
+    next(pages)
+    try:
+        pages.send(HttpReply(status=200, body=body.encode()))
+    except StopIteration as done:
+        context.outcome = f'read {done.value}'
+    except BurdocksillError as error:
+        context.outcome = error.code
+
+
+@then('that is refused with "{code}"')
+def check_refused(context: Context, code: str) -> None:
+    """Look at the error."""
+    assert context.outcome == code, context.outcome
+
+
+@given('a follower of a store with a manifest')
+def make_follower(context: Context) -> None:
+    """Fill a store with a manifest."""
+    context.store = LabStore()
+    put_version(context, 1)
+
+
+def put_version(context: Context, version: int) -> None:
+    """Write a manifest of a version."""
+    text = json.dumps({'Version': version, 'Routes': []})
+    context.store.put(MANIFEST, text.encode())
+
+
+@when(
+    'the store goes through "{one}", "{two}", "{three}" and drops its history, '
+    'with a newer manifest each',
+)
+def play_outage(context: Context, one: str, two: str, three: str) -> None:
+    """Play troubles, each with a change, and time what the node learns."""
+    table = RoutingTable()
+    context.lags = []
+
+    async def outage(trouble: Trouble, version: int) -> None:
+        context.store.trouble = trouble
+        await trio.sleep(0.5)
+        put_version(context, version)
+        if version > 4:
+            context.store.compact()
+        context.store.trouble = Trouble.NONE
+        began = trio.current_time()
+        for _ in range(250):
+            if table.version >= version:
+                break
+            await trio.sleep(0.02)
+        context.lags.append(trio.current_time() - began)
+
+    async def work(platform: StorePlatform) -> Any:
+        upstreams = Upstreams()
+        placer = PacketPlacer(
+            domain='a',
+            table=table,
+            upstreams=upstreams,
+            rng=Random(1),
+        )
+        follower = Follower(
+            prefix=EVERYTHING,
+            source=platform,
+            learner=Learner(
+                table=table,
+                placer=placer,
+                upstreams=upstreams,
+                decode=decode,
+            ),
+            progress=Progress(),
+            clock=trio.current_time,
+            rng=Random(context.seed),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(0.2)
+            names = (one, two, three, 'none')
+            for version, name in enumerate(names, start=2):
+                await outage(Trouble(name), version)
+            nursery.cancel_scope.cancel()
+
+    with_store(context, work)
+
+
+@then('the follower knew each of them within {limit:f} seconds')
+def check_lags(context: Context, limit: float) -> None:
+    """Look at the longest time."""
+    assert len(context.lags) == 4
+    assert max(context.lags) <= limit, context.lags
+
+
+@then('it has made at most {count:d} calls')
+def check_calls(context: Context, count: int) -> None:
+    """Count the calls."""
+    assert len(context.store.calls) <= count, len(context.store.calls)
