Gather changes of the store for 1 s

Ruled out: reads that may be stale (a tenth of the price, but seconds old when history is dropped, and 80 KB each on a link of 5 Mbit/s).

--- a/burdocksill/packets/follower.py
+++ b/burdocksill/packets/follower.py
@@ -20,8 +20,9 @@
 FIRST_PAUSE_SECONDS: Final = 0.1
 LONGEST_PAUSE_SECONDS: Final = 0.8
 # After a change the next call waits this long, so that changes that come
-# together cost one call: a storm of one each 0.08 s costs half as many.
-GATHER_SECONDS: Final = 0.2
+# together cost one call. It is a third of the shortest bound on a change (3 s);
+# what can't wait, an upstream that died, is seen in clients' packets first.
+GATHER_SECONDS: Final = 1.0
 
 logger = logging.getLogger(__name__)
 
