Refuse for want of a route at any time, not only after a call

Knowledge was dated by when a call was asked, so that it seemed up to twice as old as a watch waits.

Ruled out: a longer time alone (2.9 s; the age reached 4 s), shorter watches.

Change: a watch that ended without changes proves that there were none for as long as it waited. Knowledge counts as fresh for 2.9 s, below the 3 s of the shortest bound.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -43,10 +43,10 @@
         """Return the seconds since the knowledge was known to be current."""
         return now - self.current_at
 
-    def reach(self, revision: int, asked_at: float) -> None:
-        """Take note of an answer to a call that began at a time."""
+    def reach(self, revision: int, current_at: float) -> None:
+        """Take note that all changes up to a time are known."""
         self.revision = revision
-        self.current_at = asked_at
+        self.current_at = current_at
 
 
 @attrs.define(kw_only=True)
--- a/burdocksill/packets/follower.py
+++ b/burdocksill/packets/follower.py
@@ -81,7 +81,7 @@
         else:
             found = await self.source.read_prefix(self.prefix)
             self.learner.learn_all(found, self.clock())
-        self.progress.reach(found.revision, asked_at)
+        self.progress.reach(found.revision, asked_at + found.unchanged_seconds)
         self.pause = FIRST_PAUSE_SECONDS
         self.line.enter('store followed', revision=str(found.revision))
         if found.values:
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -23,9 +23,10 @@
 )
 from burdocksill.packets.verdicts import Drop, Forward, Reason, Reset, Verdict
 
-# A node that has read the routes within this time may say that there is none.
-# Half of the shortest bound on a change (3 s) that users have named.
-FRESH_SECONDS: Final = 1.5
+# A node that knows the routes as of this time ago may say that there is none.
+# It covers a whole wait for changes (2.5 s), and stays below the shortest time
+# in which a new route must be in force (3 s).
+FRESH_SECONDS: Final = 2.9
 # A client repeats its opening after 0.2 s; anything sooner is a datagram that
 # the network has doubled.
 REPEAT_SECONDS: Final = 0.15
--- a/burdocksill/platform/protocols.py
+++ b/burdocksill/platform/protocols.py
@@ -24,6 +24,8 @@
 
     values: tuple[StoredValue, ...]
     revision: int
+    # For how long after it was asked the store saw no change.
+    unchanged_seconds: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -38,6 +38,7 @@
 # after). Longer waits save calls: 1.5 s cost 0.003 of a day's worth more.
 WATCH_WAIT_MILLISECONDS: Final = 2500
 WATCH_TIMEOUT_SECONDS: Final = 3.2
+MILLISECONDS: Final = 1000
 OK: Final = 200
 GONE: Final = 410
 CONFLICT: Final = 412
@@ -112,7 +113,13 @@
         """Wait for changes after a revision; none when the wait ran out."""
         target = watch_target(prefix, after, WATCH_WAIT_MILLISECONDS)
         reply = await self.call('GET', target, timeout=WATCH_TIMEOUT_SECONDS)
-        return decode_watch(target, reply)
+        found = decode_watch(target, reply)
+        if found.values:
+            return found
+        return attrs.evolve(
+            found,
+            unchanged_seconds=WATCH_WAIT_MILLISECONDS / MILLISECONDS,
+        )
 
     async def watch(
         self,
--- a/burdocksill_lab/commands/packets.py
+++ b/burdocksill_lab/commands/packets.py
@@ -3,19 +3,40 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
+import attrs
 import click
 import trio
 
+from burdocksill.packets.header import flow_id
 from burdocksill_lab.packets.client import Outcome
 from burdocksill_lab.packets.loopback import LoopbackDay
+from burdocksill_lab.packets.upstream import Condition
 from burdocksill_lab.processes import free_port
 
 ROUND_SECONDS: Final = 1.0
 # From the last request to the last deadline.
 SETTLE_SECONDS: Final = 1.2
+# Troubles begin when flows have had an answer or two.
+TROUBLE_SECONDS: Final = 1.5
+UNKNOWN_PORT: Final = 9999
+UNKNOWN_FLOWS: Final = 3
+Trouble = Callable[[LoopbackDay], Awaitable[None]]
+
+
+@attrs.frozen(kw_only=True)
+class DayPlan:
+    """Hold what a day consists of."""
+
+    nodes: int
+    upstreams: int
+    flows: int
+    rounds: int
+    trouble: str
 
 
 @click.command()
@@ -23,67 +44,62 @@
 @click.option('--upstreams', default=4, show_default=True, help='Upstreams.')
 @click.option('--flows', default=40, show_default=True, help='Open flows.')
 @click.option('--rounds', default=5, show_default=True, help='Requests a flow.')
-@click.option('--restart/--no-restart', default=True, help='Stop each in turn.')
+@click.option(
+    '--trouble',
+    default='stop-nodes',
+    show_default=True,
+    type=click.Choice(
+        ['none', 'stop-nodes', 'kill-node', 'silent-upstream', 'no-route'],
+    ),
+    help='What happens meanwhile.',
+)
 @click.option('--logs', type=click.Path(path_type=Path), help='Keep logs here.')
-def packets(
-    nodes: int,
-    upstreams: int,
-    flows: int,
-    rounds: int,
-    *,
-    restart: bool,
-    logs: Path | None,
-) -> None:
-    """Serve long flows on loopback through real nodes, all stopped in turn.
+def packets(logs: Path | None, **sizes: int | str) -> None:
+    """Serve long flows on loopback through real nodes.
 
     \b
     Exit codes: 0 every request was served, 1 one was not.
     """
+    plan = DayPlan(**sizes)  # type: ignore[arg-type]
     with tempfile.TemporaryDirectory() as folder:
-        day = trio.run(
-            play,
-            Path(folder) if logs is None else logs,
-            (nodes, upstreams, flows, rounds),
-            restart,
-        )
-    outcomes = day.outcomes()
-    for outcome, count in outcomes.items():
+        if logs is not None:
+            logs.mkdir(parents=True, exist_ok=True)
+        day = trio.run(play, logs or Path(folder), plan)
+    for outcome, count in day.outcomes().items():
         click.echo(f'{outcome.value}: {count}')
-    if set(outcomes) != {Outcome.SERVED}:
+    if set(day.outcomes()) != {Outcome.SERVED}:
+        show_failures(day)
         sys.exit(1)
 
 
-async def play(
-    folder: Path,
-    sizes: tuple[int, int, int, int],
-    restart: bool,
-) -> LoopbackDay:
+def show_failures(day: LoopbackDay) -> None:
+    """Print each flow on which a request failed."""
+    for flow in day.flows:
+        for request in flow.requests:
+            if request.outcome is not Outcome.SERVED:
+                click.echo(f'{request.outcome.value}: {flow_id(flow.key)}')
+
+
+async def play(folder: Path, plan: DayPlan) -> LoopbackDay:
     """Play the day and return it."""
-    nodes, upstreams, flows, rounds = sizes
     async with trio.open_nursery() as nursery:
         port = free_port('127.0.0.1')
         day = LoopbackDay(nursery=nursery, folder=folder, port=port)
         try:
-            await day.start(nodes=nodes, upstreams=upstreams)
-            await serve(day, flows, rounds, restart=restart)
+            await day.start(nodes=plan.nodes, upstreams=plan.upstreams)
+            await serve(day, plan)
         finally:
             day.stop()
     return day
 
 
-async def serve(
-    day: LoopbackDay,
-    flows: int,
-    rounds: int,
-    *,
-    restart: bool,
-) -> None:
-    """Send requests, and stop the nodes in turn meanwhile."""
+async def serve(day: LoopbackDay, plan: DayPlan) -> None:
+    """Send requests, with some trouble meanwhile."""
     click.echo(f'{len(day.nodes)} nodes are ready')
-    day.open_flows(flows)
-    if restart:
-        day.nursery.start_soon(restart_in_turn, day)
-    await day.request_all(rounds, ROUND_SECONDS)
+    day.open_flows(plan.flows)
+    if plan.trouble != 'none':
+        day.nursery.start_soon(TROUBLES[plan.trouble], day)
+    await day.request_all(plan.rounds, ROUND_SECONDS)
     await trio.sleep(SETTLE_SECONDS)
 
 
@@ -98,3 +114,34 @@
         node.start()
         await day.wait_until_ready(len(day.nodes))
         click.echo(f'{node.host} is back')
+
+
+async def kill_node(day: LoopbackDay) -> None:
+    """Kill a node; routers notice after two probes."""
+    await trio.sleep(TROUBLE_SECONDS)
+    click.echo(f'{day.nodes[0].host} is killed')
+    day.nodes[0].signal(signal.SIGKILL)
+
+
+async def silence_upstream(day: LoopbackDay) -> None:
+    """Let an upstream lose power."""
+    await trio.sleep(TROUBLE_SECONDS)
+    click.echo(f'{day.upstreams[0].name} falls silent')
+    day.upstreams[0].condition = Condition.DARK
+
+
+async def use_unknown_port(day: LoopbackDay) -> None:
+    """Send openings to a port that no route has."""
+    await trio.sleep(TROUBLE_SECONDS)
+    click.echo(f'flows to port {UNKNOWN_PORT}')
+    day.open_flows(UNKNOWN_FLOWS, UNKNOWN_PORT)
+
+
+TROUBLES: Final[Mapping[str, Trouble]] = MappingProxyType(
+    {
+        'stop-nodes': restart_in_turn,
+        'kill-node': kill_node,
+        'silent-upstream': silence_upstream,
+        'no-route': use_unknown_port,
+    },
+)
--- a/burdocksill_lab/packets/loopback.py
+++ b/burdocksill_lab/packets/loopback.py
@@ -247,7 +247,7 @@
         """Return the nodes that routers send to."""
         return [node for node in self.nodes if node.misses < MISSES]
 
-    def open_flows(self, count: int) -> None:
+    def open_flows(self, count: int, port: int = ROUTE_PORT) -> None:
         """Prepare flows; their first requests open them."""
         first = len(self.flows)
         for number in range(first, first + count):
@@ -255,7 +255,7 @@
                 undotted(self.client[0]),
                 number + 1024,
                 undotted(ROUTE_HOST),
-                ROUTE_PORT,
+                port,
             )
             flow = ClientFlow(key=key, timeline=self.timeline, send=self.route)
             self.flows.append(flow)
--- a/tests/packets/start.feature
+++ b/tests/packets/start.feature
@@ -70,3 +70,10 @@
     And they hold "burdocksill_answer_seconds_count{service="ledger"} 30.0"
     And they hold "burdocksill_manifest_version 1"
     And they hold "burdocksill_upstreams 2"
+
+  Scenario: An opening without a route is refused at once, at any time
+    # A node hears of no change for as long as nothing changes; what it knows
+    # is as good as new, and clients should not wait for their time-outs.
+    Given a day on loopback with 1 node, 2 upstreams and 5 flows
+    When flows to an unknown port are opened every 0.5 seconds for 4 seconds
+    Then each was refused within 0.1 seconds
--- a/tests/steps/packets_start.py
+++ b/tests/steps/packets_start.py
@@ -17,7 +17,7 @@
 from burdocksill.network.sockets import SocketNetwork
 from burdocksill.packets.faststart import import_while_serving
 from burdocksill.platform.node_file import VARIABLE
-from burdocksill_lab.commands.packets import restart_in_turn
+from burdocksill_lab.commands.packets import UNKNOWN_PORT, restart_in_turn
 from burdocksill_lab.packets.client import Outcome
 from burdocksill_lab.packets.loopback import LoopbackDay, NodeProcess
 from burdocksill_lab.packets.store import Trouble
@@ -325,3 +325,29 @@
 def check_metrics(context: Context, text: str) -> None:
     """Look for a line."""
     assert text in context.page.splitlines(), context.page
+
+
+@when(
+    'flows to an unknown port are opened every {gap:f} seconds '
+    'for {seconds:d} seconds',
+)
+def open_unknown(context: Context, gap: float, seconds: int) -> None:
+    """Open flows that no route leads anywhere."""
+
+    async def work(day: LoopbackDay) -> None:
+        for _ in range(round(seconds / gap)):
+            day.open_flows(1, UNKNOWN_PORT)
+            day.flows[-1].request()
+            await trio.sleep(gap)
+
+    play(context, work)
+
+
+@then('each was refused within {limit:f} seconds')
+def check_refused(context: Context, limit: float) -> None:
+    """Look at how the flows to the unknown port ended."""
+    for flow in context.day.flows:
+        for request in flow.requests:
+            took = request.ended_at - request.sent_at
+            assert request.outcome is Outcome.RESET, request
+            assert took <= limit, took
