Name the upstream in doubled openings too; share cold limits among nodes

Cause: found by reading. An opening that the network doubled within 0.15 s was forwarded without its upstream's echo; upstreams take the last one they see, so every later packet of the flow named nobody. And each node gave a cold upstream all of its limit.

Ruled out: counting nodes in the store; no site sets such a limit, and its registrations would cost every node calls.

--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -102,7 +102,9 @@
             avoid = self.missed(seen, now)
             reason = Reason.OPENED_ELSEWHERE
         elif now - seen.seen_at < REPEAT_SECONDS:
-            return self.forward(payload, seen.upstream, Reason.OPENED)
+            # Upstreams take the last echo they see, so the double has it too.
+            doubled = with_echo(payload, seen.upstream.echo)
+            return self.forward(doubled, seen.upstream, Reason.OPENED)
         else:
             avoid = frozenset()
         chosen = self.placer.place(route, now, avoid)
--- a/burdocksill/packets/learner.py
+++ b/burdocksill/packets/learner.py
@@ -85,6 +85,11 @@
                     'version': news.manifest.version,
                     'before': before,
                     'routes': len(news.manifest.routes),
+                    'cold_per_s': {
+                        name: limits.cold_per_second
+                        for name, limits in news.manifest.services.items()
+                        if limits.cold_per_second
+                    },
                 },
             )
 
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -20,6 +20,11 @@
 # Among more than these, a random sample is compared: the best of 16 is among
 # the best 6 % in most draws, and nodes don't all run to the same upstream.
 MOST_COMPARED: Final = 16
+# Nodes do not know each other. A cold upstream's limit is shared as if there
+# were this many: fleets have 7 to 9 today, and more of them are added at times.
+# Larger ones push it further than they should; what carries those is on the
+# capacity page.
+ASSUMED_NODES: Final = 16
 # Ranks of candidates: a lower one is taken whenever there is any.
 WELL: Final = 0
 ASIDE: Final = 1
@@ -29,18 +34,20 @@
 
 @attrs.define(kw_only=True)
 class ColdBudget:
-    """Count the new flows of cold upstreams in a sliding second."""
+    """Space the new flows that one node gives to a cold upstream.
 
-    opened: dict[str, list[float]] = attrs.field(factory=dict)
+    A second's worth at once would be allowed to each node alone, and together
+    they would push the upstream over.
+    """
+
+    next_at: dict[str, float] = attrs.field(factory=dict)
 
-    def take(self, name: str, now: float, limit: float) -> bool:
-        """Count a flow if the last second had room for it."""
-        recent = [at for at in self.opened.get(name, ()) if now - at < 1]
-        allowed = len(recent) < limit
-        if allowed:
-            recent.append(now)
-        self.opened[name] = recent
-        return allowed
+    def take(self, name: str, now: float, per_second: float) -> bool:
+        """Count a flow if the one before it lies back far enough."""
+        if now < self.next_at.get(name, 0):
+            return False
+        self.next_at[name] = now + 1 / per_second
+        return True
 
 
 @attrs.define(kw_only=True)
@@ -59,7 +66,7 @@
     out: set[str] = attrs.field(factory=set)
     budget: ColdBudget = attrs.field(factory=ColdBudget)
     # How many nodes may send to the same cold upstream.
-    nodes: int = 1
+    nodes: int = ASSUMED_NODES
 
     def place(
         self,
--- a/tests/packets/flows.feature
+++ b/tests/packets/flows.feature
@@ -94,3 +94,12 @@
     And 12 clients in "a" send a request and try twice again when refused
     Then each of them is served
     And the refusing upstream got at most 4 openings
+
+  Scenario: An opening that the network doubled keeps its upstream's name
+    # The second copy overtakes nothing and asks for nothing new, but an
+    # upstream takes the last echo it sees: without its name in the copy every
+    # later packet of the flow would name no upstream.
+    Given a domain "a" with 1 node and 3 upstreams
+    When 6 new flows in "a" send a request and the network doubles each packet
+    And every flow sends a request
+    Then every request is served
--- a/tests/packets/placement.feature
+++ b/tests/packets/placement.feature
@@ -34,11 +34,12 @@
   Scenario: A cold upstream gets no more than it can bear
     # After a crash of its domain an upstream comes back empty, and every
     # client reconnects to it within a second: it falls over again. It bears
-    # 10 new flows a second.
-    Given a domain "a" with 1 node and no upstreams
-    And a cold upstream in "a" that bears 10 flows a second
-    When 60 new flows in "a" send a request, one each 0.02 seconds
-    Then it got at most 10 openings in any second
+    # 40 new flows a second, through all nodes together.
+    Given a domain "a" with 9 nodes and no upstreams
+    And a cold upstream in "a" that bears 40 flows a second
+    When 400 new flows in "a" send a request, one each 0.01 seconds
+    Then it got at most 40 openings in any second
+    And it got at least 40 openings in all
 
   Scenario: Weights of a route are followed
     # A new version of a service gets a tenth of the flows.
--- a/tests/steps/packets_world.py
+++ b/tests/steps/packets_world.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 
 from behave import given, then, when
 from behave.runner import Context
@@ -522,6 +523,13 @@
     assert most <= count, most
 
 
+@then('it got at least {count:d} openings in all')
+def check_cold_used(context: Context, count: int) -> None:
+    """Count the openings: a limit must not starve it either."""
+    got = len(context.marked.opened)
+    assert got >= count, got
+
+
 @then('"{service}" got between {low:d} and {high:d} openings')
 def check_share(context: Context, service: str, low: int, high: int) -> None:
     """Count the openings of a service."""
@@ -596,3 +604,27 @@
     """Count the openings in vain."""
     got = len(context.marked.opened)
     assert got <= count, got
+
+
+@when(
+    '{count:d} new flows in "{domain}" send a request '
+    'and the network doubles each packet',
+)
+def doubled_flows(context: Context, count: int, domain: str) -> None:
+    """Open flows whose packets reach the node twice."""
+    world = world_of(context)
+    context.fresh = [world.open_flow(domain) for _ in range(count)]
+    for flow in context.fresh:
+        once = flow.send
+
+        def twice(
+            payload: bytes,
+            key: tuple[int, int, int, int],
+            once: Callable[..., None] = once,
+        ) -> None:
+            once(payload, key)
+            once(payload, key)
+
+        flow.send = twice
+        flow.request()
+    world.run(SETTLE_SECONDS)
