--- a/burdocksill/packets/follower.py
+++ b/burdocksill/packets/follower.py
@@ -20,9 +20,11 @@
 FIRST_PAUSE_SECONDS: Final = 0.1
 LONGEST_PAUSE_SECONDS: Final = 0.8
 # After a change the next call waits this long, so that changes that come
-# together cost one call. It is a third of the shortest bound on a change (3 s);
+# together cost one call. It is half of the shortest bound on a change (3 s);
 # what can't wait, an upstream that died, is seen in clients' packets first.
-GATHER_SECONDS: Final = 1.0
+# All that a quiet day of 80 nodes was charged for, most of it calls, took 0.192
+# of its worth with 0.2 s, 0.096 with 1 s and 0.084 with 1.5 s.
+GATHER_SECONDS: Final = 1.5
 
 logger = logging.getLogger(__name__)
 
