Count the store's working time after a failed watch; take no old news for life

Cause: found by reading. One failed watch left a node without the time since when the store works, so that it never again held an upstream for gone. And the first packet of each flow that moved to a node counted as a sign of life of its upstream, and hid for all flows that waited that it was silent.

Ruled out: reading the store whole after each failed watch, which costs calls.

--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -65,6 +65,22 @@
         upstream.flows += 1
         return flow
 
+    def join(
+        self,
+        packet: Packet,
+        upstream: KnownUpstream,
+        now: float,
+    ) -> SeenFlow:
+        """Begin to follow a flow that was opened through another node.
+
+        What its client has acknowledged is old news: taken for a sign of life
+        it would hide that the upstream is silent, for each flow that moves.
+        """
+        flow = self.start(packet.flow, upstream, now)
+        flow.open = True
+        flow.ack = packet.ack
+        return flow
+
     def end(self, key: FlowKey) -> None:
         """Stop following a flow."""
         flow = self.flows.pop(key, None)
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -160,7 +160,7 @@
             return self.without_upstream(packet, now)
         flow = self.flows.find(packet.flow)
         if flow is None or flow.upstream is not upstream:
-            flow = self.flows.start(packet.flow, upstream, now)
+            flow = self.flows.join(packet, upstream, now)
         self.flows.follow(packet, flow, now)
         lost = self.lost(upstream, now)
         if lost is not None:
--- a/burdocksill/packets/learner.py
+++ b/burdocksill/packets/learner.py
@@ -34,17 +34,22 @@
 
     def learn_values(self, found: Snapshot, now: float) -> None:
         """Take in changes, in their order."""
+        self.regain_touch(now)
         for news in self.read(found):
             self.learn(news, now)
 
     def learn_all(self, found: Snapshot, now: float) -> None:
         """Take in a whole reading; what it does not show is not there."""
-        if not self.upstreams.stable_since:
-            self.upstreams.stable_since = now
+        self.regain_touch(now)
         news = self.read(found)
         for one in (*news, *self.missing(news)):
             self.learn(one, now)
 
+    def regain_touch(self, now: float) -> None:
+        """Count from now on how long the store has worked."""
+        if not self.upstreams.stable_since:
+            self.upstreams.stable_since = now
+
     def missing(self, news: list[News]) -> list[News]:
         """Return what was there before and a whole reading does not show."""
         shown = {
--- a/tests/packets/flows.feature
+++ b/tests/packets/flows.feature
@@ -103,3 +103,15 @@
     When 6 new flows in "a" send a request and the network doubles each packet
     And every flow sends a request
     Then every request is served
+
+  Scenario: Flows that moved to a node do not hide that their upstream is silent
+    # Routers turned to another node, as they do whenever one joins or leaves.
+    # It sees flows on a silent upstream for the first time; that a client has
+    # had answers before proves nothing about now.
+    Given a domain "a" with 1 node and 2 upstreams
+    And 16 open flows in "a"
+    When an upstream falls silent
+    And the node of "a" is started anew
+    And 4 flows on it send a request, one each 0.1 seconds
+    And 0.8 seconds pass
+    Then these 4 were ended by a node
--- a/tests/packets/registry.feature
+++ b/tests/packets/registry.feature
@@ -114,3 +114,16 @@
     And 6 new flows in "a" send a request
     Then every request is served
     And that upstream got no opening since
+
+  Scenario: A store that hung for a moment does not keep the gone for ever
+    # A watch timed out once and went on. An hour later an upstream crashes;
+    # its flows must be ended as on any other day.
+    Given a domain "a" with 1 node and 2 upstreams
+    And 8 open flows in "a"
+    When the node of "a" loses touch with the store for a moment
+    And an upstream falls silent
+    And its entry is removed
+    And 3 seconds pass
+    And 1 flow on it sends a request
+    And 0.3 seconds pass
+    Then all flows on it were ended by a node
--- a/tests/steps/packets_world.py
+++ b/tests/steps/packets_world.py
@@ -628,3 +628,27 @@
         flow.send = twice
         flow.request()
     world.run(SETTLE_SECONDS)
+
+
+@when('the node of "{domain}" loses touch with the store for a moment')
+def lose_touch(context: Context, domain: str) -> None:
+    """Let a watch fail, and the next one tell of a change."""
+    world = world_of(context)
+    node_of(context, domain).core.learner.lose_touch()
+    world.register(next(iter(world.upstreams.values())))
+
+
+@when('{count:d} flows on it send a request, one each {gap:f} seconds')
+def some_send_paced(context: Context, count: int, gap: float) -> None:
+    """Send on a few flows of the upstream that is spoken of, spread out."""
+    context.spread = on_marked(context)[:count]
+    for flow in context.spread:
+        flow.request()
+        world_of(context).run(gap)
+
+
+@then('these {count:d} were ended by a node')
+def check_spread(context: Context, count: int) -> None:
+    """Look at the flows that sent."""
+    ended = [flow for flow in context.spread if flow.system_reset]
+    assert len(ended) == count, len(ended)
