Refuse numbers that no float holds and JSON that is nested too deep

Cause: found by the new fuzzing of what stands in the store: a limit of 10 to the power 400 and 100,000 brackets ended the node that read them, on every node at once and again after each start.

--- a/burdocksill/platform/records.py
+++ b/burdocksill/platform/records.py
@@ -64,7 +64,7 @@
     """Read a JSON object."""
     try:
         found = json.loads(value)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise RecordInvalidError(
             message=f'{len(value)} bytes are no JSON: {error}',
             hint='see which program writes this key',
@@ -81,16 +81,24 @@
     """Return a field of a kind; a fallback of None means it is required."""
     field: Any = found.get(name, fallback)
     if kind is float and isinstance(field, int):
-        field = float(field)
+        field = as_float(field)
     wrong = not isinstance(field, kind) or isinstance(field, bool)
     if wrong or (kind is float and not math.isfinite(field)):
         raise RecordInvalidError(
-            message=f'{name} is {field!r}, not a {kind.__name__}',
+            message=f'{name} is not a finite {kind.__name__}',
             hint='the entry is passed over until it is written again',
         )
     return field
 
 
+def as_float(number: int) -> float:
+    """Return a whole number as a float, infinite where none holds it."""
+    try:
+        return float(number)
+    except OverflowError:
+        return math.inf
+
+
 def take_rows(found: dict[str, Any], name: str) -> list[dict[str, Any]]:
     """Return a list of objects, empty where there is none."""
     rows: list[Any] = take(found, name, list, [])
--- /dev/null
+++ b/tests/steps/platform_records.py
@@ -0,0 +1,153 @@
+"""Steps about values of the users' store."""
+
+import json
+from collections import Counter
+from typing import Any
+
+from behave import then, when
+from behave.runner import Context
+from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import strategies as st
+
+from burdocksill.exceptions import BurdocksillError
+from burdocksill.platform.protocols import StoredValue
+from burdocksill.platform.records import (
+    DOMAINS_OUT,
+    MANIFEST,
+    UPSTREAMS,
+    decode,
+)
+
+ENTRY = {
+    'Service': 'ledger',
+    'Address': '10.2.0.1:8080',
+    'Zone': 'a',
+    'Version': 'v1',
+    'Slots': 2,
+    'State': 'ready',
+    'WarmupMs': 0,
+    'Seq': 1,
+    'born': 1,
+}
+ROUTE = {
+    'Name': 'r',
+    'Hostname': '198.18.0.1',
+    'Prefix': '/8443/',
+    'TrafficSplit': [{'Service': 'ledger', 'Weight': 1}],
+}
+LIMITS = {'Name': 'ledger', 'WarmupS': 2.0, 'ColdPerS': 0.0}
+KEYS = (MANIFEST, f'{UPSTREAMS}i-0000000001', f'{DOMAINS_OUT}a', 'else')
+HUGE = 10**400
+BRACKETS = 100_000
+
+
+def json_values() -> st.SearchStrategy[Any]:
+    """Draw any JSON value, with numbers and text of odd sizes."""
+    leaves = st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(-HUGE, HUGE),
+        st.floats(),
+        st.text(max_size=8),
+        st.sampled_from(['1.2.3.4:5', 'ready', '/1/', '-', ':', '/']),
+    )
+    return st.recursive(
+        leaves,
+        lambda inner: st.one_of(
+            st.lists(inner, max_size=3),
+            st.dictionaries(st.sampled_from([*ENTRY, *ROUTE]), inner),
+        ),
+        max_leaves=6,
+    )
+
+
+def spoilt(good: dict[str, Any]) -> st.SearchStrategy[dict[str, Any]]:
+    """Draw a good object in which some fields were replaced."""
+    fields = st.dictionaries(
+        st.sampled_from(sorted(good)),
+        json_values(),
+        max_size=2,
+    )
+    return fields.map(lambda changed: {**good, **changed})
+
+
+def values() -> st.SearchStrategy[bytes]:
+    """Draw values of all kinds."""
+    manifest = st.builds(
+        lambda routes, services: {
+            'Version': 3,
+            'Routes': routes,
+            'Services': services,
+        },
+        st.lists(spoilt(ROUTE), max_size=2),
+        st.lists(spoilt(LIMITS), max_size=2),
+    )
+    written = st.one_of(json_values(), spoilt(ENTRY), manifest)
+    return st.one_of(
+        st.binary(max_size=40),
+        written.map(lambda found: json.dumps(found).encode()),
+    )
+
+
+def outcome(key: str, value: bytes) -> str:
+    """Decode a value and say what came of it."""
+    try:
+        decode(StoredValue(key=key, value=value, revision=1))
+    except BurdocksillError as error:
+        return error.code
+    except Exception as error:  # noqa: BLE001
+        return f'{type(error).__name__} of {value[:80]!r}'
+    return 'news or none'
+
+
+@when('{count:d} random values are decoded')
+def fuzz(context: Context, count: int) -> None:
+    """Decode random values under every kind of key."""
+    context.outcomes = Counter()
+
+    @seed(context.seed)
+    @settings(
+        max_examples=count,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(st.sampled_from(KEYS), values())
+    def one(key: str, value: bytes) -> None:
+        context.outcomes[outcome(key, value)] += 1
+
+    one()
+
+
+@when('a limit of 10 to the power 400 is decoded')
+def decode_limit(context: Context) -> None:
+    """Decode a manifest with a limit that no float holds."""
+    text = {'Version': 1, 'Limits': {'IdleTimeoutMs': HUGE}}
+    decode_text(context, MANIFEST, json.dumps(text))
+
+
+@when('a weight of 10 to the power 400 is decoded')
+def decode_weight(context: Context) -> None:
+    """Decode a manifest with a weight that no float holds."""
+    split = [{'Service': 'ledger', 'Weight': HUGE}]
+    text = {'Version': 1, 'Routes': [{**ROUTE, 'TrafficSplit': split}]}
+    decode_text(context, MANIFEST, json.dumps(text))
+
+
+@when('100000 brackets is decoded')
+def decode_brackets(context: Context) -> None:
+    """Decode JSON that is nested too deep."""
+    decode_text(context, KEYS[1], '[' * BRACKETS + ']' * BRACKETS)
+
+
+def decode_text(context: Context, key: str, text: str) -> None:
+    """Decode one value."""
+    context.outcomes = Counter([outcome(key, text.encode())])
+
+
+@then('each gave news, none, or the error "{code}"')
+def check_outcomes(context: Context, code: str) -> None:
+    """Look for anything else."""
+    others = set(context.outcomes) - {'news or none', code}
+    assert not others, others
