--- a/burdocksill/network/exchange.py
+++ b/burdocksill/network/exchange.py
@@ -19,7 +19,7 @@
     media_type: str = 'text/plain; charset=utf-8'
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class HttpExchange:
     """Write requests and read answers, one after the other."""
 
--- a/burdocksill/network/http.py
+++ b/burdocksill/network/http.py
@@ -16,7 +16,7 @@
 SERVE_TIMEOUT_SECONDS: Final = 3.0
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class HttpConnection:
     """Exchange one request after the other over one kept connection."""
 
--- a/burdocksill/network/sockets.py
+++ b/burdocksill/network/sockets.py
@@ -17,7 +17,7 @@
 KERNEL_BUFFER_BYTES: Final = 4 * 1024 * 1024
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class PlainDatagramSocket:
     """Drain a plain non-blocking socket once trio says it is readable."""
 
@@ -60,7 +60,7 @@
         self.plain.close()
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class SocketNetwork:
     """Open real sockets."""
 
@@ -89,7 +89,7 @@
         return await trio.open_tcp_stream(remote.host, remote.port)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class SystemClock:
     """Tell the time of day by the system clock."""
 
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -1,16 +1,18 @@
 """What decides for packets on one node, and the loop that drains a socket."""
 
 import socket
+import time
 from collections import Counter
-from collections.abc import Callable
 from random import Random
 from typing import Final
 
 import attrs
 
+from burdocksill.packets.clock import Clock, boot_seconds
 from burdocksill.packets.decisions import PacketDecisions
 from burdocksill.packets.forwarder import Forwarder
 from burdocksill.packets.header import LARGEST_PACKET
+from burdocksill.packets.knowledge import Knowledge, Progress
 from burdocksill.packets.learner import Decoder, Learner
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
@@ -21,46 +23,29 @@
 # One wake-up handles at most this many packets, so that readiness and the
 # store's answers are not kept waiting by a flood.
 BATCH_LIMIT: Final = 64
-# Returns steady seconds: those of the system, or of a test.
-Clock = Callable[[], float]
 
 
-@attrs.define(kw_only=True)
-class Progress:
-    """Tell how far this node has read the store."""
-
-    # Revision of the store up to which all is known; 0: read it whole.
-    revision: int = 0
-    # When all changes up to this time were known.
-    current_at: float = float('-inf')
-
-    @property
-    def is_known(self) -> bool:
-        """Return True once the store has been read whole."""
-        return self.current_at > float('-inf')
-
-    def age(self, now: float) -> float:
-        """Return the seconds since the knowledge was known to be current."""
-        return now - self.current_at
-
-    def reach(self, revision: int, current_at: float) -> None:
-        """Take note that all changes up to a time are known."""
-        self.revision = revision
-        self.current_at = current_at
-
-
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class PacketCore:
     """Hold the state of the packet path and carry out its verdicts."""
 
     datagrams: socket.socket
     forwarder: Forwarder
-    learner: Learner
-    progress: Progress
+    knowledge: Knowledge
     counts: Counter[str] = attrs.field(factory=Counter)
     # When the last packet came in.
     packet_at: float = float('-inf')
 
+    @property
+    def learner(self) -> Learner:
+        """Return what puts news into force."""
+        return self.knowledge.learner
+
+    @property
+    def progress(self) -> Progress:
+        """Return how far the store is known."""
+        return self.knowledge.progress
+
     def drain(self, now: float) -> None:
         """Handle at most one batch of waiting packets."""
         for _ in range(BATCH_LIMIT):
@@ -110,11 +95,13 @@
     datagrams: socket.socket,
     decode: Decoder,
     rng: Random,
+    clock: Clock = time.monotonic,
+    age_clock: Clock = boot_seconds,
 ) -> PacketCore:
     """Compose what decides for packets."""
     table = RoutingTable()
     upstreams = Upstreams()
-    progress = Progress()
+    progress = Progress(clock=age_clock)
     placer = PacketPlacer(
         domain=settings.domain,
         table=table,
@@ -131,11 +118,14 @@
             freshness=progress,
             log=PacketDecisions(),
         ),
-        learner=Learner(
-            table=table,
-            placer=placer,
-            upstreams=upstreams,
-            decode=decode,
+        knowledge=Knowledge(
+            learner=Learner(
+                table=table,
+                placer=placer,
+                upstreams=upstreams,
+                decode=decode,
+            ),
+            progress=progress,
+            clock=clock,
         ),
-        progress=progress,
     )
--- a/burdocksill/packets/decisions.py
+++ b/burdocksill/packets/decisions.py
@@ -11,7 +11,7 @@
 logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class PacketDecisions:
     """Write a line for each decision that touches a flow."""
 
--- a/burdocksill/packets/faststart.py
+++ b/burdocksill/packets/faststart.py
@@ -36,7 +36,7 @@
 Pages = Generator[str, HttpReply, Snapshot]
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class FirstReading:
     """Read the store once over a plain socket that is never waited for.
 
@@ -88,8 +88,7 @@
         try:
             target = self.pages.send(reply)
         except StopIteration as done:
-            self.core.learner.learn_all(done.value, time.monotonic())
-            self.core.progress.reach(done.value.revision, self.asked_at)
+            self.core.knowledge.take_all(done.value, self.asked_at)
             self.end()
         else:
             self.out = self.exchange.request('GET', target)
@@ -100,7 +99,7 @@
         self.plain.close()
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class DrainBetweenImports:
     """Forward what has arrived each time another module is looked for.
 
@@ -117,7 +116,7 @@
 
 def read_first(reading: FirstReading) -> None:
     """Read the store, for as long as it may take when it is slow."""
-    deadline = reading.asked_at + READING_SECONDS
+    deadline = time.monotonic() + READING_SECONDS
     while not reading.ended and time.monotonic() < deadline:
         wanted = [reading.plain]
         select.select(wanted, wanted if reading.out else [], [], LOOK_SECONDS)
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -21,7 +21,7 @@
 ANSWERS_KEPT: Final = 8192
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class SeenFlow:
     """Hold the last state of a flow that its client's packets showed."""
 
@@ -35,7 +35,7 @@
     repeated: bool = False
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class FlowTable:
     """Keep the flows seen last, the oldest first."""
 
--- a/burdocksill/packets/follower.py
+++ b/burdocksill/packets/follower.py
@@ -9,8 +9,7 @@
 
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.observe.lines import StateLine
-from burdocksill.packets.core import Clock, Progress
-from burdocksill.packets.learner import Learner
+from burdocksill.packets.knowledge import Knowledge
 from burdocksill.platform.exceptions import PlatformCompactedError
 from burdocksill.platform.protocols import Snapshot
 
@@ -20,11 +19,13 @@
 FIRST_PAUSE_SECONDS: Final = 0.1
 LONGEST_PAUSE_SECONDS: Final = 0.8
 # After a change the next call waits this long, so that changes that come
-# together cost one call. It is half of the shortest bound on a change (3 s);
-# what can't wait, an upstream that died, is seen in clients' packets first.
-# All that a quiet day of 80 nodes was charged for, most of it calls, took 0.192
-# of its worth with 0.2 s, 0.096 with 1 s and 0.084 with 1.5 s.
-GATHER_SECONDS: Final = 1.5
+# together cost one call. What can't wait, an upstream that died, is seen in
+# clients' packets first.
+GATHER_SECONDS: Final = 0.5
+# Changes are waited for until the knowledge would be this old. Other nodes
+# that rely on this one call the store themselves at 2 s.
+KNOWN_WITHIN_SECONDS: Final = 1.5
+SHORTEST_WAIT_SECONDS: Final = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -35,11 +36,38 @@
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Return all values below a prefix."""
 
-    async def changes(self, *, prefix: str, after: int) -> Snapshot:
+    async def changes(
+        self,
+        *,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Snapshot:
         """Wait for changes after a revision; none when the wait ran out."""
 
 
-@attrs.define(kw_only=True)
+class Turn(Protocol):
+    """Tell when this node should call the store."""
+
+    async def wait(self) -> None:
+        """Return once it should."""
+
+    def called(self) -> None:
+        """Take note that a call has succeeded."""
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class AlwaysTurn:
+    """Call the store all the time, as a node does that knows no other."""
+
+    async def wait(self) -> None:
+        """Return at once."""
+
+    def called(self) -> None:
+        """Take note of nothing."""
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
 class Follower:
     """Keep what is below one prefix of the store as current as it can be.
 
@@ -48,10 +76,9 @@
 
     prefix: str
     source: Source
-    learner: Learner
-    progress: Progress
-    clock: Clock
+    knowledge: Knowledge
     rng: Random
+    turn: Turn = attrs.field(factory=AlwaysTurn)
     pause: float = FIRST_PAUSE_SECONDS
     line: StateLine = attrs.field(init=False)
 
@@ -62,12 +89,13 @@
     async def run(self) -> None:
         """Read, follow, and start over after each failure."""
         while True:
+            await self.turn.wait()
             try:
                 await self.step()
             except PlatformCompactedError as error:
                 self.failed(error)
                 # Changes are lost; only a whole reading can tell what stands.
-                self.progress.revision = 0
+                self.knowledge.progress.incomplete = True
             except BurdocksillError as error:
                 self.failed(error)
                 await trio.sleep(self.pause * self.rng.uniform(0.5, 1))
@@ -75,26 +103,36 @@
 
     async def step(self) -> None:
         """Read everything once, and wait for changes from then on."""
-        asked_at = self.clock()
-        after = self.progress.revision
-        if after:
-            found = await self.source.changes(prefix=self.prefix, after=after)
-            self.learner.learn_values(found, self.clock())
-        else:
+        progress = self.knowledge.progress
+        asked_at = progress.now()
+        if not progress.revision or progress.incomplete:
             found = await self.source.read_prefix(self.prefix)
-            self.learner.learn_all(found, self.clock())
-        self.progress.reach(found.revision, asked_at + found.unchanged_seconds)
+            self.knowledge.take_all(found, asked_at)
+        else:
+            found = await self.source.changes(
+                prefix=self.prefix,
+                after=progress.revision,
+                wait=self.wait_seconds(),
+            )
+            current_at = asked_at + found.unchanged_seconds
+            self.knowledge.take_changes(found, current_at)
+        self.turn.called()
         self.pause = FIRST_PAUSE_SECONDS
         self.line.enter('store followed', revision=str(found.revision))
         if found.values:
             await trio.sleep(GATHER_SECONDS)
 
+    def wait_seconds(self) -> float:
+        """Return how long the store may hold the next call."""
+        left = KNOWN_WITHIN_SECONDS - self.knowledge.age()
+        return min(max(left, SHORTEST_WAIT_SECONDS), KNOWN_WITHIN_SECONDS)
+
     def failed(self, error: BurdocksillError) -> None:
         """Write down that touch is lost; what is known stays in force."""
-        self.learner.lose_touch()
+        self.knowledge.learner.lose_touch()
         self.line.enter(
             'store lost',
             level=logging.WARNING,
-            revision=str(self.progress.revision),
+            revision=str(self.knowledge.revision),
             cause=str(error),
         )
--- /dev/null
+++ b/burdocksill/packets/following.py
@@ -0,0 +1,175 @@
+"""Compose how a node learns what the store says: from it, or from a reader."""
+
+from collections import Counter
+from random import Random
+
+import attrs
+import trio
+
+from burdocksill.network.addresses import Address
+from burdocksill.network.http import HttpConnection
+from burdocksill.network.protocols import Network
+from burdocksill.packets.clock import Clock
+from burdocksill.packets.follower import Follower
+from burdocksill.packets.knowledge import Knowledge
+from burdocksill.packets.learner import Learner
+from burdocksill.packets.settings import PacketSettings
+from burdocksill.platform.records import EVERYTHING
+from burdocksill.platform.store import StorePlatform
+from burdocksill.readers.changes import ChangeLog
+from burdocksill.readers.claims import Claim
+from burdocksill.readers.exchange import Candidate, PeerExchange, SharedTurn
+from burdocksill.readers.messages import Reader
+from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.subscription import Subscription
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Sharing:
+    """Hold what a node does to know the store without calling it."""
+
+    exchange: PeerExchange
+    candidate: Candidate
+    platform: StorePlatform
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Following:
+    """Hold the tasks that keep a node's knowledge current."""
+
+    follower: Follower
+    platform: StorePlatform
+    sharing: Sharing | None = None
+
+    @property
+    def reads(self) -> bool:
+        """Return True while this node reads the store for its domain."""
+        return self.sharing is not None and self.sharing.candidate.claim.holds
+
+    @property
+    def platforms(self) -> list[StorePlatform]:
+        """Return the clients of the store, one for each connection."""
+        shared = [] if self.sharing is None else [self.sharing.platform]
+        return [self.platform, *shared]
+
+    @property
+    def calls(self) -> Counter[int]:
+        """Count the calls to the store by the status of their answers."""
+        calls: Counter[int] = Counter()
+        for platform in self.platforms:
+            calls.update(platform.calls)
+        return calls
+
+    async def run(self) -> None:
+        """Follow the store and the readers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            if self.sharing is not None:
+                nursery.start_soon(self.sharing.exchange.receive)
+                nursery.start_soon(self.sharing.exchange.ask)
+                nursery.start_soon(self.sharing.candidate.run)
+
+    async def leave(self) -> None:
+        """Let another node read for the domain, as this one stops."""
+        if self.sharing is not None:
+            await self.sharing.candidate.leave()
+
+    async def call_at(self, store: Address) -> None:
+        """Call the store at another address from now on."""
+        for platform in self.platforms:
+            platform.connection.remote = store
+            await platform.connection.close()
+
+
+@attrs.frozen(kw_only=True)
+class Surroundings:
+    """Hold what a node runs in: real, or played by a test."""
+
+    network: Network
+    clock: Clock
+    rng: Random
+
+
+def make_platform(
+    settings: PacketSettings,
+    around: Surroundings,
+) -> StorePlatform:
+    """Prepare a client of the store with a connection of its own."""
+    connection = HttpConnection(
+        network=around.network,
+        remote=settings.platform,
+    )
+    return StorePlatform(connection=connection)
+
+
+async def follow(
+    settings: PacketSettings,
+    knowledge: Knowledge,
+    around: Surroundings,
+) -> Following:
+    """Compose the tasks; with an address for peers the readings are shared."""
+    platform = make_platform(settings, around)
+    follower = Follower(
+        prefix=EVERYTHING,
+        source=platform,
+        knowledge=knowledge,
+        rng=around.rng,
+    )
+    following = Following(follower=follower, platform=platform)
+    if settings.peer is not None:
+        sharing = await share(settings, settings.peer, knowledge, around)
+        following.sharing = sharing
+        follower.turn = SharedTurn(
+            subscription=sharing.exchange.subscription,
+        )
+    return following
+
+
+async def share(
+    settings: PacketSettings,
+    peer: Address,
+    knowledge: Knowledge,
+    around: Surroundings,
+) -> Sharing:
+    """Bind the socket for other nodes and compose what uses it."""
+    socket = await around.network.open_datagrams(peer)
+    directory: Learner = knowledge.learner
+    subscription = Subscription(
+        name=settings.name,
+        domain=settings.domain,
+        directory=directory,
+        knowledge=knowledge,
+        clock=around.clock,
+        rng=around.rng,
+    )
+    revision = knowledge.revision
+    publisher = Publisher(
+        knowledge=knowledge,
+        log=ChangeLog(start=revision, end=revision),
+        clock=around.clock,
+        send=socket.send,
+    )
+    knowledge.listeners.append(publisher.publish)
+    # A waiting call holds its connection, so leases have one of their own.
+    platform = make_platform(settings, around)
+    claim = Claim(
+        itself=Reader(name=settings.name, address=peer),
+        domain=settings.domain,
+        cores=settings.cores,
+        directory=directory,
+        clock=around.clock,
+        rng=around.rng,
+    )
+    return Sharing(
+        exchange=PeerExchange(
+            socket=socket,
+            subscription=subscription,
+            publisher=publisher,
+        ),
+        candidate=Candidate(
+            claim=claim,
+            store=platform,
+            subscription=subscription,
+        ),
+        platform=platform,
+    )
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -41,7 +41,10 @@
     def current_at(self) -> float:
         """Return the time up to which all changes are known."""
 
-    def age(self, now: float) -> float:
+    def now(self) -> float:
+        """Return the time by which it is counted."""
+
+    def age(self) -> float:
         """Return the seconds since the knowledge was known to be current."""
 
 
@@ -58,7 +61,7 @@
         """Write down one decision."""
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class Forwarder:
     """Route packets by what they carry, and new flows by placement.
 
@@ -93,7 +96,7 @@
         """Place a new flow, or a repeat of its opening somewhere else."""
         route = self.table.find((packet.address, packet.port))
         if route is None:
-            return self.without_route(packet, now)
+            return self.without_route(packet)
         seen = self.flows.find(packet.flow)
         reason = Reason.OPENED
         if seen is None:
@@ -109,7 +112,7 @@
             avoid = frozenset()
         chosen = self.placer.place(route, now, avoid)
         if chosen is None:
-            return self.refuse(packet, Reason.NO_UPSTREAM, now)
+            return self.refuse(packet, Reason.NO_UPSTREAM)
         self.flows.start(packet.flow, chosen, now)
         self.log.decided(packet.flow, reason, chosen, packet.ack)
         return self.forward(with_echo(payload, chosen.echo), chosen, reason)
@@ -139,15 +142,15 @@
         upstream.health.missed(now, seen.seen_at)
         return frozenset((upstream.record.name,))
 
-    def without_route(self, packet: Packet, now: float) -> Verdict:
+    def without_route(self, packet: Packet) -> Verdict:
         """End or drop an opening for an address that has no route."""
         if not self.table.version:
             return Drop(Reason.NOT_READY)
-        return self.refuse(packet, Reason.NO_ROUTE, now)
+        return self.refuse(packet, Reason.NO_ROUTE)
 
-    def refuse(self, packet: Packet, reason: Reason, now: float) -> Verdict:
+    def refuse(self, packet: Packet, reason: Reason) -> Verdict:
         """Refuse an opening at once if what says so is fresh."""
-        if self.freshness.age(now) > FRESH_SECONDS:
+        if self.freshness.age() > FRESH_SECONDS:
             return Drop(reason)
         return self.reset(packet, reason)
 
@@ -178,7 +181,7 @@
         """
         if len(self.unknown) >= UNKNOWN_KEPT:
             self.unknown.clear()
-        missed_at = self.unknown.setdefault(packet.echo, now)
+        missed_at = self.unknown.setdefault(packet.echo, self.freshness.now())
         stable_since = self.upstreams.stable_since
         stable = stable_since and now - stable_since > ABSENT_SECONDS
         if stable and self.freshness.current_at > missed_at:
--- a/burdocksill/packets/header.py
+++ b/burdocksill/packets/header.py
@@ -23,7 +23,7 @@
 SEQUENCE_MASK: Final = (1 << 32) - 1
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Packet:
     """Hold the header of a client's packet; fields stand in wire order."""
 
--- a/burdocksill/packets/health.py
+++ b/burdocksill/packets/health.py
@@ -45,7 +45,7 @@
 SILENT_KEPT: Final = 16
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class SilentFlow:
     """Hold since when a flow waits and how often its client sent again."""
 
@@ -53,7 +53,7 @@
     repeats: int = 1
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class UpstreamHealth:
     """Hold the signs of life of one upstream."""
 
--- /dev/null
+++ b/burdocksill/packets/knowledge.py
@@ -0,0 +1,151 @@
+"""What a node knows of the store, how far and since when."""
+
+from collections.abc import Callable
+
+import attrs
+
+from burdocksill.packets.clock import Clock, boot_seconds
+from burdocksill.packets.learner import Learner
+from burdocksill.platform.protocols import Snapshot, StoredValue
+
+NOTHING_READ = float('-inf')
+# Takes the revision before, and the changes since.
+Listener = Callable[[int, Snapshot], None]
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Progress:
+    """Tell how far this node knows the store; it never goes back."""
+
+    clock: Clock = boot_seconds
+    # Revision of the store up to which all is known; 0: nothing is.
+    revision: int = 0
+    # When all changes up to this time were known.
+    current_at: float = NOTHING_READ
+    # True when changes were lost, so that the store must be read whole.
+    incomplete: bool = False
+
+    @property
+    def is_known(self) -> bool:
+        """Return True once the store has been read whole."""
+        return self.current_at > NOTHING_READ
+
+    def now(self) -> float:
+        """Return the time by which ages are counted."""
+        return self.clock()
+
+    def age(self) -> float:
+        """Return the seconds since the knowledge was known to be current."""
+        return self.clock() - self.current_at
+
+    def reach(self, revision: int, current_at: float) -> None:
+        """Take note that all changes up to a time are known."""
+        self.revision = max(self.revision, revision)
+        self.current_at = max(self.current_at, current_at)
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Knowledge:
+    """Put what the store or another node tells into force, in order.
+
+    Both may tell the same, or one of them late: only what is newer than all
+    before counts.
+    """
+
+    learner: Learner
+    progress: Progress
+    # Steady seconds by which upstreams' absences are counted.
+    clock: Clock
+    # Told of each change, once.
+    listeners: list[Listener] = attrs.field(factory=list)
+    # The keys that the store holds.
+    keys: set[str] = attrs.field(factory=set)
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which all is known; 0: nothing is."""
+        return self.progress.revision
+
+    @property
+    def stable_for(self) -> float:
+        """Return for how long the store was fine, below 0 in trouble."""
+        since = self.learner.upstreams.stable_since
+        return self.clock() - since if since else -1
+
+    def age(self) -> float:
+        """Return the seconds since the knowledge was known to be current."""
+        return self.progress.age()
+
+    def take_all(self, found: Snapshot, current_at: float) -> None:
+        """Take in a whole reading, unless a peer has told more meanwhile."""
+        self.learner.regain_touch(self.clock())
+        if found.revision < self.progress.revision:
+            return
+        self.learner.learn_all(found, self.clock())
+        self.progress.incomplete = False
+        self.advance(self.difference(found), current_at)
+
+    def take_changes(self, found: Snapshot, current_at: float) -> None:
+        """Take in changes that the store has told."""
+        self.learner.regain_touch(self.clock())
+        self.take_newer(found, current_at)
+
+    def take_from_peer(
+        self,
+        found: Snapshot,
+        *,
+        age: float,
+        stable: float,
+    ) -> None:
+        """Take in changes that another node has told.
+
+        Of two times since which the store is said to be fine the later counts:
+        who saw no trouble may have had no call under way.
+        """
+        if stable >= 0:
+            upstreams = self.learner.upstreams
+            since = self.clock() - stable
+            upstreams.stable_since = max(upstreams.stable_since, since)
+        self.take_newer(found, self.progress.now() - age)
+
+    def take_newer(self, found: Snapshot, current_at: float) -> None:
+        """Learn what is newer than all that is known."""
+        before = self.progress.revision
+        newer = attrs.evolve(
+            found,
+            values=tuple(one for one in found.values if one.revision > before),
+        )
+        self.learner.learn_values(newer, self.clock())
+        self.advance(newer, current_at)
+
+    def advance(self, newer: Snapshot, current_at: float) -> None:
+        """Take note of how far all is known, and tell others."""
+        before = self.progress.revision
+        for one in newer.values:
+            if one.removed:
+                self.keys.discard(one.key)
+            else:
+                self.keys.add(one.key)
+        self.progress.reach(newer.revision, current_at)
+        for listener in self.listeners:
+            listener(before, newer)
+
+    def difference(self, found: Snapshot) -> Snapshot:
+        """Return a whole reading as changes of what was known before.
+
+        What the reading doesn't show was removed, by its revision at the
+        latest.
+        """
+        before = self.progress.revision
+        gone = self.keys - {one.key for one in found.values}
+        removed = (
+            StoredValue(
+                key=key,
+                value=b'',
+                revision=found.revision,
+                removed=True,
+            )
+            for key in sorted(gone)
+        )
+        written = (one for one in found.values if one.revision > before)
+        return attrs.evolve(found, values=(*written, *removed))
--- a/burdocksill/packets/learner.py
+++ b/burdocksill/packets/learner.py
@@ -9,6 +9,7 @@
     DomainNews,
     ManifestNews,
     News,
+    ReaderNews,
     UpstreamLost,
     UpstreamNews,
     UpstreamRecord,
@@ -18,12 +19,13 @@
 from burdocksill.packets.upstreams import Upstreams
 from burdocksill.platform.exceptions import RecordInvalidError
 from burdocksill.platform.protocols import Snapshot, StoredValue
+from burdocksill.readers.messages import ReaderEntry
 
 logger = logging.getLogger(__name__)
 Decoder = Callable[[StoredValue], News | None]
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class Learner:
     """Put what was read into the routes, the domains and the upstreams."""
 
@@ -31,16 +33,16 @@
     placer: PacketPlacer
     upstreams: Upstreams
     decode: Decoder
+    # Who reads the store for which failure domain.
+    readers: dict[str, ReaderEntry] = attrs.field(factory=dict)
 
     def learn_values(self, found: Snapshot, now: float) -> None:
         """Take in changes, in their order."""
-        self.regain_touch(now)
         for news in self.read(found):
             self.learn(news, now)
 
     def learn_all(self, found: Snapshot, now: float) -> None:
         """Take in a whole reading; what it does not show is not there."""
-        self.regain_touch(now)
         news = self.read(found)
         for one in (*news, *self.missing(news)):
             self.learn(one, now)
@@ -58,7 +60,16 @@
             if isinstance(found, UpstreamNews)
         }
         out = {found.domain for found in news if isinstance(found, DomainNews)}
+        readers = {
+            found.entry.domain
+            for found in news
+            if isinstance(found, ReaderNews)
+        }
         return [
+            *(
+                ReaderNews(ReaderEntry(domain=name))
+                for name in self.readers.keys() - readers
+            ),
             *(
                 UpstreamLost(name)
                 for name in self.upstreams.by_name.keys() - shown
@@ -68,17 +79,17 @@
 
     def learn(self, news: News, now: float) -> None:
         """Take in one change."""
-        if isinstance(news, ManifestNews):
-            self.learn_manifest(news)
-        elif isinstance(news, DomainNews):
-            self.learn_domain(news)
-        elif isinstance(news, UpstreamNews):
-            self.see(news.record, now)
-        elif self.upstreams.lose(news.name, now):
-            logger.info(
-                'upstream lost',
-                extra={'upstream': news.name, 'cause': news.cause},
-            )
+        match news:
+            case ManifestNews():
+                self.learn_manifest(news)
+            case DomainNews():
+                self.learn_domain(news)
+            case ReaderNews():
+                self.learn_reader(news.entry)
+            case UpstreamNews():
+                self.see(news.record, now)
+            case UpstreamLost():
+                self.lose(news, now)
 
     def learn_manifest(self, news: ManifestNews) -> None:
         """Put a newer manifest into force."""
@@ -107,6 +118,18 @@
         state = 'domain out' if news.out else 'domain back'
         logger.info(state, extra={'domain': news.domain})
 
+    def learn_reader(self, entry: ReaderEntry) -> None:
+        """Take note of who reads for a failure domain."""
+        self.readers[entry.domain] = entry
+        logger.info(
+            'reader known',
+            extra={
+                'domain': entry.domain,
+                'reader': entry.reader.name if entry.reader else '',
+                'revision': entry.revision,
+            },
+        )
+
     def see(self, record: UpstreamRecord, now: float) -> None:
         """Take in what an upstream says of itself."""
         if self.upstreams.see(record, now):
@@ -120,6 +143,14 @@
                 },
             )
 
+    def lose(self, news: UpstreamLost, now: float) -> None:
+        """Take note of an entry that vanished."""
+        if self.upstreams.lose(news.name, now):
+            logger.info(
+                'upstream lost',
+                extra={'upstream': news.name, 'cause': news.cause},
+            )
+
     def lose_touch(self) -> None:
         """Count absences anew once the store can be read again.
 
--- a/burdocksill/packets/main.py
+++ b/burdocksill/packets/main.py
@@ -5,7 +5,6 @@
 import signal
 import socket
 import sys
-import time
 from random import Random
 from typing import Final
 
@@ -59,7 +58,7 @@
         remote=settings.platform,
         pages=range_pages(EVERYTHING),
         core=core,
-        asked_at=time.monotonic(),
+        asked_at=core.progress.now(),
     )
     read_first(reading)
 
--- a/burdocksill/packets/messages.py
+++ b/burdocksill/packets/messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from burdocksill.readers.messages import ReaderEntry
+
 
 @attrs.frozen(kw_only=True)
 class Share:
@@ -100,4 +102,11 @@
     cause: str = 'removed'
 
 
-News = ManifestNews | DomainNews | UpstreamNews | UpstreamLost
+@attrs.frozen
+class ReaderNews:
+    """Tell which node reads the store for a failure domain."""
+
+    entry: ReaderEntry
+
+
+News = ManifestNews | DomainNews | UpstreamNews | UpstreamLost | ReaderNews
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -4,9 +4,10 @@
 
 from burdocksill.observe.counters import Counters
 from burdocksill.packets.core import PacketCore
+from burdocksill.packets.following import Following
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class MetricsPage:
     """Bring the counts of the packet path into the usual text format.
 
@@ -15,21 +16,30 @@
     """
 
     core: PacketCore
+    following: Following
     counters: Counters = attrs.field(factory=Counters)
-    shown: dict[str, int] = attrs.field(factory=dict)
+    shown: dict[tuple[str, str], int] = attrs.field(factory=dict)
 
     def render(self, now: float) -> str:
         """Write everything that is known now."""
         for reason, count in self.core.counts.items():
-            more = count - self.shown.get(reason, 0)
+            more = self.since_shown('packets', reason, count)
             self.counters.add('packets', more, reason=reason)
-            self.shown[reason] = count
+        for status, count in self.following.calls.items():
+            more = self.since_shown('store_calls', str(status), count)
+            self.counters.add('store_calls', more, status=str(status))
         answers = self.core.forwarder.flows.answers
         while answers:
             service, seconds = answers.popleft()
             self.counters.record('answer', seconds, service=service)
         return self.counters.render() + self.gauges(now)
 
+    def since_shown(self, name: str, label: str, count: int) -> int:
+        """Return by how much a count grew since the last page."""
+        before = self.shown.get((name, label), 0)
+        self.shown[name, label] = count
+        return count - before
+
     def gauges(self, now: float) -> str:
         """Write what is so at this moment."""
         learner = self.core.learner
@@ -37,11 +47,12 @@
         found = {
             'manifest_version': learner.table.version,
             'store_revision': self.core.progress.revision,
-            'store_age_seconds': round(self.core.progress.age(now), 3),
+            'store_age_seconds': round(self.core.progress.age(), 3),
             'upstreams': len(known),
             'upstreams_aside': sum(one.health.is_aside(now) for one in known),
             'flows_seen': len(self.core.forwarder.flows.flows),
             'domains_out': len(learner.placer.out),
+            'reads_for_domain': int(self.following.reads),
         }
         lines = [
             f'# TYPE burdocksill_{name} gauge\nburdocksill_{name} {value}'
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -10,9 +10,10 @@
 
 from burdocksill.network.exchange import HttpReply
 from burdocksill.network.http import serve_connection
-from burdocksill.packets.core import Clock, PacketCore
+from burdocksill.packets.clock import Clock
+from burdocksill.packets.core import PacketCore
 from burdocksill.packets.faststart import import_while_serving
-from burdocksill.packets.follower import Follower
+from burdocksill.packets.following import Following
 from burdocksill.packets.settings import PacketSettings
 
 UPKEEP_SECONDS: Final = 1.0
@@ -29,13 +30,13 @@
 logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class PacketNode:
     """Run the packet path of one VM and tell routers of its readiness."""
 
     settings: PacketSettings
     core: PacketCore
-    follower: Follower
+    following: Following
     clock: Clock
     stopping: bool = False
     metrics_page: Any = None
@@ -52,7 +53,7 @@
                 nursery.start_soon(task)
             nursery.start_soon(self.forward_packets)
             nursery.start_soon(self.serve_pages)
-            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.following.run)
             nursery.start_soon(self.upkeep)
             await self.wait_for_stop()
             nursery.cancel_scope.cancel()
@@ -69,6 +70,7 @@
             self.stopping = True
             began = self.clock()
             logger.info('stopping', extra={'for_s': self.settings.stop_seconds})
+            await self.following.leave()
             await self.wait_for_quiet(began)
 
     async def wait_for_quiet(self, began: float) -> None:
@@ -119,6 +121,9 @@
         """
         if self.metrics_page is None:
             loaded = import_while_serving(METRICS, self.core)
-            self.metrics_page = loaded.MetricsPage(core=self.core)
+            self.metrics_page = loaded.MetricsPage(
+                core=self.core,
+                following=self.following,
+            )
         text: str = self.metrics_page.render(self.clock())
         return text
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -32,7 +32,7 @@
 NOTHING_AVOIDED: Final[frozenset[str]] = frozenset()
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class ColdBudget:
     """Space the new flows that one node gives to a cold upstream.
 
@@ -50,7 +50,7 @@
         return True
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class PacketPlacer:
     """Choose the least loaded upstream of the own failure domain.
 
--- a/burdocksill/packets/program.py
+++ b/burdocksill/packets/program.py
@@ -1,4 +1,4 @@
-"""Connect a node with the platform and run it."""
+"""Connect a node with the platform and the other nodes, and run it."""
 
 import time
 from collections.abc import Callable
@@ -6,15 +6,12 @@
 
 import trio
 
-from burdocksill.network.http import HttpConnection
 from burdocksill.network.sockets import SocketNetwork
 from burdocksill.packets.core import PacketCore
-from burdocksill.packets.follower import Follower
+from burdocksill.packets.following import Surroundings, follow
 from burdocksill.packets.node import PacketNode
 from burdocksill.packets.reload import Reloader
 from burdocksill.packets.settings import PacketSettings
-from burdocksill.platform.records import EVERYTHING
-from burdocksill.platform.store import StorePlatform
 
 
 def run(
@@ -24,22 +21,26 @@
     read: Callable[[], PacketSettings],
 ) -> None:
     """Run a node until it is asked to stop; `read` reads its settings anew."""
-    connection = HttpConnection(
+    trio.run(serve, settings, core, rng, read)
+
+
+async def serve(
+    settings: PacketSettings,
+    core: PacketCore,
+    rng: Random,
+    read: Callable[[], PacketSettings],
+) -> None:
+    """Compose the tasks of a node and run them."""
+    around = Surroundings(
         network=SocketNetwork(),
-        remote=settings.platform,
+        clock=time.monotonic,
+        rng=rng,
     )
     node = PacketNode(
         settings=settings,
         core=core,
-        follower=Follower(
-            prefix=EVERYTHING,
-            source=StorePlatform(connection=connection),
-            learner=core.learner,
-            progress=core.progress,
-            clock=time.monotonic,
-            rng=rng,
-        ),
+        following=await follow(settings, core.knowledge, around),
         clock=time.monotonic,
     )
-    reloader = Reloader(read=read, node=node, connection=connection)
-    trio.run(node.run, reloader.run)
+    reloader = Reloader(read=read, node=node)
+    await node.run(reloader.run)
--- a/burdocksill/packets/reload.py
+++ b/burdocksill/packets/reload.py
@@ -9,7 +9,6 @@
 import trio
 
 from burdocksill.exceptions import BurdocksillError
-from burdocksill.network.http import HttpConnection
 from burdocksill.observe.lines import StateLine
 from burdocksill.packets.node import PacketNode
 from burdocksill.packets.settings import PacketSettings
@@ -17,18 +16,17 @@
 # The file may change without a signal; reading its 2 KB takes 0.1 ms.
 LOOK_SECONDS: Final = 2.0
 # What a running process can't change: its sockets and what it is.
-FIXED: Final = ('name', 'domain', 'listen', 'ready')
+FIXED: Final = ('name', 'domain', 'listen', 'ready', 'peer', 'cores')
 
 logger = logging.getLogger(__name__)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class Reloader:
     """Read the settings again, at SIGHUP and every few seconds."""
 
     read: Callable[[], PacketSettings]
     node: PacketNode
-    connection: HttpConnection
     line: StateLine = attrs.field(factory=lambda: StateLine(logger=logger))
 
     async def run(self) -> None:
@@ -72,5 +70,4 @@
         self.node.settings = found
         logging.getLogger().setLevel(found.log_level)
         if found.platform != before.platform:
-            self.connection.remote = found.platform
-            await self.connection.close()
+            await self.node.following.call_at(found.platform)
--- a/burdocksill/packets/routing.py
+++ b/burdocksill/packets/routing.py
@@ -8,7 +8,7 @@
 NO_LIMITS = ServiceLimits()
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class RoutingTable:
     """Hold the manifest in force; a lower version never replaces it.
 
--- a/burdocksill/packets/settings.py
+++ b/burdocksill/packets/settings.py
@@ -20,8 +20,10 @@
     listen: Address
     ready: Address
     platform: Address
-    # Other nodes that may be asked; stale or down at times.
-    seeds: tuple[Address, ...] = ()
+    # Where other nodes reach this one; without it the node reads the store by
+    # itself.
     peer: Address | None = None
+    # Processor of the machine, in cores of the usual speed.
+    cores: float = 1.0
     stop_seconds: float = DEFAULT_STOP_SECONDS
     log_level: str = 'INFO'
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -26,7 +26,7 @@
     GONE = 'gone'
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class KnownUpstream:
     """Hold an upstream's record and what this node has seen of it."""
 
@@ -64,7 +64,7 @@
     return record.tag & ECHO_MASK
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class Upstreams:
     """Find upstreams by service for new flows, by echo for open ones."""
 
--- a/burdocksill/platform/calls.py
+++ b/burdocksill/platform/calls.py
@@ -42,6 +42,22 @@
     return f'/-/kv-range?{query}'
 
 
+def write_body(key: str, value: bytes, expected: int, lease: int) -> bytes:
+    """Return the body of a call that writes one key under a condition."""
+    row: dict[str, object] = {
+        'Key': key,
+        'Value': base64.b64encode(value).decode(),
+    }
+    if lease:
+        row['Lease'] = lease
+    wanted = {
+        'Expect': [{'Key': key, 'Rev': expected}],
+        'Puts': [row],
+        'Delete': [],
+    }
+    return json.dumps(wanted).encode()
+
+
 def range_pages(prefix: str) -> Generator[str, HttpReply, Snapshot]:
     """Yield the targets that read all values below a prefix, return these.
 
--- a/burdocksill/platform/keys.py
+++ b/burdocksill/platform/keys.py
@@ -8,6 +8,8 @@
 FLEET_KEYS: Final = '/burdocksill/keys'
 # Never written to the store: the watchers make it from the list of VMs.
 DEPARTURES: Final = '/burdocksill/departures'
+# One key a failure domain: the node that reads the store for it.
+READERS: Final = 'burdocksill/readers/'
 # The platform itself writes this prefix; burdocksill only reads it.
 VMS: Final = '/platform/vms/'
 
--- a/burdocksill/platform/node_file.py
+++ b/burdocksill/platform/node_file.py
@@ -1,5 +1,6 @@
 """Read the file in which the platform describes a node."""
 
+import math
 from typing import Final
 
 from burdocksill.conf.exceptions import SettingAddressError, SettingMissingError
@@ -54,21 +55,13 @@
         listen=read_address(fields, 'Listen.DataAddr'),
         ready=read_address(fields, 'Listen.ReadyAddr'),
         platform=read_address(fields, 'platform.Address'),
-        seeds=read_seeds(fields),
         peer=read_peer(fields),
+        cores=read_cores(fields),
         stop_seconds=read_stop(fields),
         log_level=fields.get('LogLevel', 'INFO'),
     )
 
 
-def read_seeds(fields: dict[str, str]) -> tuple[Address, ...]:
-    """Return the peer addresses of other nodes; they share one port."""
-    port = peer_port(fields)
-    found = fields.get('Seeds', '').split(',')
-    hosts = [one.rpartition(':')[0] for one in found if one]
-    return tuple(Address(host, port) for host in hosts if port and host)
-
-
 def read_peer(fields: dict[str, str]) -> Address | None:
     """Return this node's own address for other nodes."""
     port = peer_port(fields)
@@ -82,6 +75,26 @@
     return int(first) if first.isdecimal() else 0
 
 
+def read_cores(fields: dict[str, str]) -> float:
+    """Return the machine's processor in cores of the usual speed."""
+    share = read_number(fields, 'Limits.CpuShare', 1)
+    # `Cores` says how many times as fast as the usual one the core is.
+    return share * read_number(fields, 'Limits.Cores', 1)
+
+
+def read_number(
+    fields: dict[str, str],
+    name: str,
+    fallback: float,
+) -> float:
+    """Return a positive number, or what holds where there is none."""
+    try:
+        found = float(fields.get(name, ''))
+    except ValueError:
+        return fallback
+    return found if math.isfinite(found) and found > 0 else fallback
+
+
 def read_stop(fields: dict[str, str]) -> float:
     """Return how long to go on after a request to stop."""
     # From SIGTERM to SIGKILL, in seconds.
--- a/burdocksill/platform/records.py
+++ b/burdocksill/platform/records.py
@@ -4,12 +4,14 @@
 import math
 from typing import Any, Final
 
+from burdocksill.network.addresses import Address
 from burdocksill.packets.header import undotted
 from burdocksill.packets.messages import (
     DomainNews,
     Manifest,
     ManifestNews,
     News,
+    ReaderNews,
     Route,
     ServiceLimits,
     Share,
@@ -19,7 +21,9 @@
     UpstreamState,
 )
 from burdocksill.platform.exceptions import RecordInvalidError
+from burdocksill.platform.keys import READERS
 from burdocksill.platform.protocols import StoredValue
+from burdocksill.readers.messages import Reader, ReaderEntry
 
 # Operators and upstreams write below prefixes of their own; nobody else does,
 # so that the empty one holds both, and one watch follows both.
@@ -49,9 +53,42 @@
         if stored.removed:
             return UpstreamLost(name)
         return read_listed(name, stored.value)
+    if stored.key.startswith(READERS):
+        domain = stored.key.removeprefix(READERS)
+        return ReaderNews(read_reader(domain, stored))
     return None
 
 
+def read_reader(domain: str, stored: StoredValue) -> ReaderEntry:
+    """Read who reads for a domain; one that can't be read names nobody."""
+    if stored.removed:
+        return ReaderEntry(domain=domain)
+    try:
+        found = read_object(stored.value)
+        reader = Reader(
+            name=take(found, 'name', str, None),
+            address=Address(
+                take(found, 'host', str, None),
+                take(found, 'port', int, None),
+            ),
+        )
+    except RecordInvalidError:
+        # Nodes of this program write it; the next one overwrites rubbish.
+        return ReaderEntry(domain=domain, revision=stored.revision)
+    return ReaderEntry(domain=domain, reader=reader, revision=stored.revision)
+
+
+def write_reader(reader: Reader) -> bytes:
+    """Write the entry of a domain's reader."""
+    return json.dumps(
+        {
+            'name': reader.name,
+            'host': reader.address.host,
+            'port': reader.address.port,
+        },
+    ).encode()
+
+
 def read_listed(name: str, value: bytes) -> News:
     """Read an upstream's entry; one that can't be read names none."""
     try:
--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's key-value store over HTTP."""
 
-import base64
 import json
 from collections.abc import AsyncGenerator
 from typing import Final
@@ -14,14 +13,17 @@
 from burdocksill.platform.calls import (
     decode_body,
     decode_item,
+    decode_items,
     decode_watch,
     key_target,
     range_pages,
     watch_target,
+    write_body,
 )
 from burdocksill.platform.exceptions import (
     PlatformCompactedError,
     PlatformRefusedError,
+    PlatformReplyError,
     PlatformUnavailableError,
 )
 from burdocksill.platform.protocols import (
@@ -32,12 +34,12 @@
 
 # An answer takes 4 ms, 60 times that in trouble; beyond this it is lost.
 CALL_TIMEOUT_SECONDS: Final = 1.0
-# How long the store may hold a watch while nothing changes. A connection that
-# fell silent shows only by its answer's absence: with the time-out it is found
-# within 3.2 s, before a node that suffered it is held to its bounds again (4 s
-# after). Longer waits save calls: 1.5 s cost 0.003 of a day's worth more.
-WATCH_WAIT_MILLISECONDS: Final = 2500
-WATCH_TIMEOUT_SECONDS: Final = 3.2
+# How long the store may hold a watch while nothing changes, if the caller
+# doesn't say.
+WATCH_WAIT_SECONDS: Final = 2.5
+# An answer that is later than the wait by this is lost: a connection that fell
+# silent shows by nothing else.
+WATCH_MARGIN_SECONDS: Final = 0.7
 MILLISECONDS: Final = 1000
 OK: Final = 200
 GONE: Final = 410
@@ -45,7 +47,7 @@
 NOT_FOUND: Final = 404
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class StorePlatform:
     """Call the store, one call after the other over one connection."""
 
@@ -109,17 +111,21 @@
                 snapshot: Snapshot = done.value
                 return snapshot
 
-    async def changes(self, *, prefix: str, after: int) -> Snapshot:
+    async def changes(
+        self,
+        *,
+        prefix: str,
+        after: int,
+        wait: float = WATCH_WAIT_SECONDS,
+    ) -> Snapshot:
         """Wait for changes after a revision; none when the wait ran out."""
-        target = watch_target(prefix, after, WATCH_WAIT_MILLISECONDS)
-        reply = await self.call('GET', target, timeout=WATCH_TIMEOUT_SECONDS)
+        target = watch_target(prefix, after, round(wait * MILLISECONDS))
+        timeout = wait + WATCH_MARGIN_SECONDS
+        reply = await self.call('GET', target, timeout=timeout)
         found = decode_watch(target, reply)
         if found.values:
             return found
-        return attrs.evolve(
-            found,
-            unchanged_seconds=WATCH_WAIT_MILLISECONDS / MILLISECONDS,
-        )
+        return attrs.evolve(found, unchanged_seconds=wait)
 
     async def watch(
         self,
@@ -141,19 +147,17 @@
         key: str,
         value: bytes,
         expected_revision: int,
+        lease: int = 0,
     ) -> SwapResult:
         """Write if the key still has the expected revision (0: absent).
 
+        With a lease the key goes away when the lease ends.
+
         A write whose answer was lost may take effect later, so its outcome is
         read back: the value stands there, or the revision still does and the
         caller may try again with the same condition.
         """
-        wanted = {
-            'Expect': [{'Key': key, 'Rev': expected_revision}],
-            'Puts': [{'Key': key, 'Value': base64.b64encode(value).decode()}],
-            'Delete': [],
-        }
-        body = json.dumps(wanted).encode()
+        body = write_body(key, value, expected_revision, lease)
         try:
             reply = await self.call('POST', '/-/kv-txn', body)
         except PlatformRefusedError:
@@ -164,10 +168,39 @@
             revision = int(decode_body('/-/kv-txn', reply).get('Rev', 0))
             written = StoredValue(key=key, value=value, revision=revision)
             return SwapResult(accepted=True, revision=revision, current=written)
-        current = await self.read(key)
+        if reply.status == NOT_FOUND:
+            raise PlatformRefusedError(
+                message=f'{key} was not written: lease {lease} has ended',
+                hint='begin another lease',
+            )
+        # The answer shows what stands there now.
+        shown = decode_items(decode_body('/-/kv-txn', reply), 'items')
+        current = next((one for one in shown if one.key == key), None)
         revision = current.revision if current else 0
         return SwapResult(accepted=False, revision=revision, current=current)
 
+    async def grant(self, seconds: float) -> int:
+        """Begin a lease and return its number."""
+        wanted = {'TtlMs': round(seconds * MILLISECONDS)}
+        target = '/-/kv-lease'
+        reply = await self.call('POST', target, json.dumps(wanted).encode())
+        lease = decode_body(target, reply).get('Lease')
+        if not isinstance(lease, int):
+            raise PlatformReplyError(
+                message=f'a lease has the number {lease!r}',
+                hint='check that the address is that of the store',
+            )
+        return lease
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease; False when it has ended."""
+        reply = await self.call('POST', f'/-/kv-keep/{lease}')
+        return reply.status == OK
+
+    async def end(self, lease: int) -> None:
+        """End a lease, and remove its keys."""
+        await self.call('DELETE', f'/-/kv-lease-end/{lease}')
+
     async def read_back(
         self,
         key: str,
--- /dev/null
+++ b/burdocksill/readers/__init__.py
@@ -0,0 +1,1 @@
+"""How nodes share the reading of the platform's store."""
--- /dev/null
+++ b/burdocksill/readers/changes.py
@@ -0,0 +1,41 @@
+"""The latest changes of the store, kept for nodes that ask for them."""
+
+from collections import deque
+from typing import Final
+
+import attrs
+
+from burdocksill.platform.protocols import Snapshot, StoredValue
+
+# A release of 75 upstreams makes some 300 changes in half a minute; who has
+# missed more than these reads the store.
+CHANGES_KEPT: Final = 1024
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class ChangeLog:
+    """Keep the changes between two revisions, in their order."""
+
+    start: int = 0
+    end: int = 0
+    changes: deque[StoredValue] = attrs.field(factory=deque)
+
+    def add(self, after: int, found: Snapshot) -> None:
+        """Append what changed after a revision; a gap drops what is older."""
+        if after > self.end:
+            self.changes.clear()
+            self.start = after
+        self.changes.extend(
+            change for change in found.values if change.revision > self.end
+        )
+        self.end = max(self.end, found.revision)
+        while len(self.changes) > CHANGES_KEPT:
+            self.start = self.changes.popleft().revision
+
+    def since(self, revision: int) -> tuple[StoredValue, ...] | None:
+        """Return the changes after a revision, None if some are missing."""
+        if revision < self.start:
+            return None
+        return tuple(
+            change for change in self.changes if change.revision > revision
+        )
--- /dev/null
+++ b/burdocksill/readers/datagrams.py
@@ -0,0 +1,31 @@
+"""What nodes say to each other about the store's content."""
+
+import attrs
+
+from burdocksill.platform.protocols import StoredValue
+
+
+@attrs.frozen(kw_only=True)
+class Ask:
+    """Ask a node for what has changed since a revision."""
+
+    # Drawn anew for each ask; every answer to it repeats it.
+    token: int
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class Update:
+    """Tell what has changed, and how old that is."""
+
+    token: int
+    # All changes after this revision are told, up to the other one.
+    after: int
+    revision: int
+    # Seconds since everything up to `revision` was known to be all.
+    age: float
+    # Seconds for which the store has been read without trouble; below 0 while
+    # it can't be read.
+    stable: float
+    # None: they are too many for a datagram, or too old to be kept.
+    changes: tuple[StoredValue, ...] | None = ()
--- /dev/null
+++ b/burdocksill/readers/exchange.py
@@ -0,0 +1,147 @@
+"""The tasks that talk to other nodes about the store."""
+
+import logging
+
+import attrs
+import trio
+
+from burdocksill.exceptions import BurdocksillError
+from burdocksill.network.protocols import DatagramSocket
+from burdocksill.observe.lines import StateLine
+from burdocksill.platform.keys import READERS
+from burdocksill.platform.records import write_reader
+from burdocksill.readers.claims import KEEP_SECONDS, LEASE_SECONDS, Claim
+from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.protocols import LeaseStore
+from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.subscription import Subscription
+from burdocksill.readers.wire import decode, encode_ask
+
+# How often a node looks whether its domain lacks a reader.
+LOOK_SECONDS = 0.5
+# Between two looks at the time; trio's timers are later than this at times.
+SHORTEST_SLEEP_SECONDS = 0.02
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class PeerExchange:
+    """Ask readers and answer other nodes over one datagram socket."""
+
+    socket: DatagramSocket
+    subscription: Subscription
+    publisher: Publisher
+    line: StateLine = attrs.field(factory=lambda: StateLine(logger=logger))
+
+    async def receive(self) -> None:
+        """Handle what other nodes send."""
+        while True:
+            for datagram in await self.socket.receive():
+                message = decode(datagram.payload)
+                if isinstance(message, Ask):
+                    self.publisher.answer(message, datagram.peer)
+                elif isinstance(message, Update):
+                    self.subscription.take(message, datagram.peer)
+                else:
+                    logger.warning(
+                        'datagram unreadable',
+                        extra={'peer': str(datagram.peer)},
+                    )
+
+    async def ask(self) -> None:
+        """Ask readers in time."""
+        while True:
+            pause = self.subscription.asks_in()
+            if pause <= 0 and not self.ask_now():
+                pause = LOOK_SECONDS
+            await trio.sleep(max(pause, SHORTEST_SLEEP_SECONDS))
+
+    def ask_now(self) -> bool:
+        """Ask whoever is next; False if there is nobody to ask."""
+        asked = self.subscription.next_ask()
+        if asked is None:
+            return False
+        reader, ask = asked
+        self.line.enter('reader asked', reader=reader.name)
+        self.socket.send(encode_ask(ask), reader.address)
+        return True
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class SharedTurn:
+    """Call the store when no reader keeps this node's knowledge new."""
+
+    subscription: Subscription
+
+    async def wait(self) -> None:
+        """Return once this node should call."""
+        while True:
+            seconds = self.subscription.calls_in()
+            if seconds <= 0:
+                return
+            await trio.sleep(max(seconds, SHORTEST_SLEEP_SECONDS))
+
+    def called(self) -> None:
+        """Take note that a call has told all that a reader could not."""
+        self.subscription.must_read = False
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Candidate:
+    """Offer this node as its domain's reader, and keep the lease if it is."""
+
+    claim: Claim
+    store: LeaseStore
+    subscription: Subscription
+
+    async def run(self) -> None:
+        """Offer and renew until the node stops."""
+        while True:
+            await trio.sleep(KEEP_SECONDS if self.claim.holds else LOOK_SECONDS)
+            try:
+                await self.step()
+            except BurdocksillError as error:
+                # Nothing is lost: the lease runs on, or nobody holds one and
+                # each node reads the store by itself until the next try.
+                logger.warning('lease call failed', extra={'cause': str(error)})
+            self.claim.check()
+            self.subscription.reads = self.claim.holds
+
+    async def step(self) -> None:
+        """Renew the lease, or offer this node if that is due."""
+        began = self.claim.clock()
+        if self.claim.holds:
+            runs = await self.store.keep(self.claim.lease)
+            self.claim.renewed(began, runs=runs)
+        elif self.claim.is_due():
+            await self.offer(began)
+
+    async def offer(self, began: float) -> None:
+        """Try to become the reader.
+
+        The condition is what was seen before the first call: by the second,
+        another node's entry may have been learned, which must not be replaced.
+        """
+        expected = self.claim.entry.revision
+        lease = await self.store.grant(LEASE_SECONDS)
+        result = await self.store.swap(
+            key=READERS + self.claim.domain,
+            value=write_reader(self.claim.itself),
+            expected_revision=expected,
+            lease=lease,
+        )
+        self.claim.settle(result, lease, began)
+
+    async def leave(self) -> None:
+        """Let another node take over at once, as this one stops."""
+        if not self.claim.holds:
+            return
+        lease = self.claim.lease
+        self.claim.lose('this node stops')
+        self.subscription.reads = False
+        try:
+            await self.store.end(lease)
+        except BurdocksillError as error:
+            # The lease ends by itself within its time.
+            logger.warning('lease not ended', extra={'cause': str(error)})
--- /dev/null
+++ b/burdocksill/readers/protocols.py
@@ -0,0 +1,69 @@
+"""What the sharing of the store's content needs of the rest."""
+
+from typing import Protocol
+
+from burdocksill.network.addresses import Address
+from burdocksill.platform.protocols import Snapshot, SwapResult
+from burdocksill.readers.messages import ReaderEntry
+
+
+class Knowledge(Protocol):
+    """Hold what is known of the store, and take in more."""
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which all is known; 0: nothing is."""
+
+    @property
+    def stable_for(self) -> float:
+        """Return for how long the store was fine, below 0 in trouble."""
+
+    def age(self) -> float:
+        """Return the seconds since the knowledge was known to be current."""
+
+    def take_from_peer(
+        self,
+        found: Snapshot,
+        *,
+        age: float,
+        stable: float,
+    ) -> None:
+        """Put changes that another node has told into force."""
+
+
+class Directory(Protocol):
+    """Tell who reads for which failure domain."""
+
+    @property
+    def readers(self) -> dict[str, ReaderEntry]:
+        """Return the entries by failure domain."""
+
+
+class LeaseStore(Protocol):
+    """Register a key that goes away when its writer does."""
+
+    async def grant(self, seconds: float) -> int:
+        """Begin a lease and return its number."""
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease; False when it has ended."""
+
+    async def end(self, lease: int) -> None:
+        """End a lease, and remove its keys."""
+
+    async def swap(
+        self,
+        *,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease: int = 0,
+    ) -> SwapResult:
+        """Write if the key still has the expected revision (0: absent)."""
+
+
+class Sender(Protocol):
+    """Send a datagram to another node, or drop it."""
+
+    def __call__(self, payload: bytes, peer: Address) -> bool:
+        """Send without waiting; return False when it was dropped here."""
--- /dev/null
+++ b/burdocksill/readers/subscription.py
@@ -0,0 +1,148 @@
+"""Decide whom to ask for changes, and when to read the store instead."""
+
+from collections import OrderedDict
+from random import Random
+from typing import Final
+
+import attrs
+
+from burdocksill.network.addresses import Address
+from burdocksill.packets.clock import Clock
+from burdocksill.platform.protocols import Snapshot
+from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.messages import Reader
+from burdocksill.readers.protocols import Directory, Knowledge
+
+# A reader knows everything as of 1.5 s ago at most, so an ask at this age
+# finds it fresh. Asks cost about 0.1 ms on each side.
+ASK_AGE_SECONDS: Final = 1.6
+# Changes are told unasked as long as the node has asked lately.
+RENEW_SECONDS: Final = 2.0
+# An unanswered ask is repeated after this, at another reader in turn: 50 times
+# the way there and back. Three are lost before the store is read.
+REPEAT_SECONDS: Final = 0.1
+# Older knowledge makes a node read the store by itself. A change must be in
+# force after 3 s at the shortest; a call takes 4 ms, 0.25 s in trouble.
+OLD_SECONDS: Final = 2.0
+# While neither a reader nor the store helps, asks are repeated this slowly.
+SLOW_REPEAT_SECONDS: Final = 0.5
+TOKENS_KEPT: Final = 64
+TOKEN_BITS: Final = 64
+
+
+@attrs.frozen
+class Asked:
+    """Hold an ask that may still be answered."""
+
+    address: Address
+    at: float
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Subscription:
+    """Follow the readers of the failure domains, the own one first."""
+
+    name: str
+    domain: str
+    directory: Directory
+    knowledge: Knowledge
+    clock: Clock
+    rng: Random
+    # True while this node itself reads the store for its domain.
+    reads: bool = False
+    # True when a reader had more to tell than fits into a datagram.
+    must_read: bool = False
+    # True when an update showed that another one was lost.
+    behind: bool = False
+    asked_at: float = float('-inf')
+    # Asks since the last good answer.
+    tries: int = 0
+    heard_at: float = float('-inf')
+    asked: OrderedDict[int, Asked] = attrs.field(factory=OrderedDict)
+
+    @property
+    def must_call(self) -> bool:
+        """Return True when this node should read the store itself."""
+        if self.reads or self.must_read:
+            return True
+        return self.knowledge.age() > OLD_SECONDS
+
+    def calls_in(self) -> float:
+        """Return the seconds until that may be so, 0 if it is."""
+        if self.must_call:
+            return 0
+        return OLD_SECONDS - self.knowledge.age()
+
+    def asks_in(self) -> float:
+        """Return the seconds until another node should be asked."""
+        since = self.clock() - self.asked_at
+        if self.behind:
+            return 0
+        age = self.knowledge.age()
+        if self.reads and age < OLD_SECONDS:
+            # The store tells; others are asked only when it can't be reached.
+            return OLD_SECONDS - age
+        if age >= ASK_AGE_SECONDS:
+            gap = SLOW_REPEAT_SECONDS if age > OLD_SECONDS else REPEAT_SECONDS
+            return max(0, gap - since)
+        return max(0, min(ASK_AGE_SECONDS - age, RENEW_SECONDS - since))
+
+    def next_ask(self) -> tuple[Reader, Ask] | None:
+        """Return whom to ask what now, None if nobody can be asked."""
+        reader = self.choose()
+        if reader is None or not self.knowledge.revision:
+            return None
+        now = self.clock()
+        ask = Ask(
+            token=self.rng.getrandbits(TOKEN_BITS),
+            revision=self.knowledge.revision,
+        )
+        self.asked[ask.token] = Asked(reader.address, now)
+        if len(self.asked) > TOKENS_KEPT:
+            self.asked.popitem(last=False)
+        self.asked_at = now
+        self.behind = False
+        self.tries += 1
+        return reader, ask
+
+    def choose(self) -> Reader | None:
+        """Return the own domain's reader, and others in turn if it is silent.
+
+        A cut between the domains leaves each with its own; a reader that is
+        stopped or frozen is not waited for.
+        """
+        own = None
+        others: list[Reader] = []
+        for domain, entry in self.directory.readers.items():
+            reader = entry.reader
+            if reader is None or reader.name == self.name:
+                continue
+            if domain == self.domain:
+                own = reader
+            else:
+                others.append(reader)
+        if own is not None and (self.tries % 2 == 0 or not others):
+            return own
+        return self.rng.choice(others) if others else None
+
+    def take(self, update: Update, sender: Address) -> bool:
+        """Learn from an update; False for one that was not asked for."""
+        asked = self.asked.get(update.token)
+        if asked is None or asked.address != sender:
+            return False
+        if update.changes is None:
+            self.must_read = update.revision > self.knowledge.revision
+            return True
+        if update.after > self.knowledge.revision:
+            self.behind = True
+            return True
+        found = Snapshot(values=update.changes, revision=update.revision)
+        self.knowledge.take_from_peer(
+            found,
+            age=update.age,
+            stable=update.stable,
+        )
+        if update.age <= ASK_AGE_SECONDS:
+            self.tries = 0
+            self.heard_at = self.clock()
+        return True
--- /dev/null
+++ b/burdocksill/readers/wire.py
@@ -0,0 +1,140 @@
+"""The datagrams between nodes."""
+
+import struct
+import zlib
+from typing import Final
+
+import attrs
+
+from burdocksill.platform.protocols import StoredValue
+from burdocksill.readers.datagrams import Ask, Update
+
+ASK_KIND: Final = 1
+UPDATE_KIND: Final = 2
+# Kind, token, revision.
+ASK: Final = struct.Struct('>BQQ')
+# Kind, token, after, revision, age, stable, whether changes follow.
+UPDATE: Final = struct.Struct('>BQQQff?')
+# Revision, whether the key was removed, length of key and value.
+CHANGE: Final = struct.Struct('>Q?HI')
+# The largest packed changes of an update. One manifest of 40 routes takes
+# 2 KB; what is larger, each node reads from the store by one call of its own.
+# Networks carry such a datagram in six parts, and a lost one is asked for
+# again.
+LARGEST_BODY: Final = 8192
+# Bounds what a forged datagram can make a node unpack.
+LARGEST_UNPACKED: Final = 1 << 20
+
+
+@attrs.frozen
+class UpdateHead:
+    """Hold the fixed part of an update; fields stand in wire order."""
+
+    kind: int
+    token: int
+    after: int
+    revision: int
+    age: float
+    stable: float
+    whole: bool
+
+
+def encode_ask(ask: Ask) -> bytes:
+    """Write an ask."""
+    return ASK.pack(ASK_KIND, ask.token, ask.revision)
+
+
+def decode(payload: bytes) -> Ask | Update | None:
+    """Read a datagram, None for anything that no node would send."""
+    kind = payload[0] if payload else 0
+    if kind == ASK_KIND and len(payload) == ASK.size:
+        return Ask(
+            token=ASK.unpack(payload)[1], revision=ASK.unpack(payload)[2]
+        )
+    if kind == UPDATE_KIND and len(payload) >= UPDATE.size:
+        return decode_update(payload)
+    return None
+
+
+def encode_changes(changes: tuple[StoredValue, ...]) -> bytes | None:
+    """Pack changes, None when they are too large for a datagram."""
+    parts: list[bytes] = []
+    for change in changes:
+        key = change.key.encode()
+        head = CHANGE.pack(
+            change.revision,
+            change.removed,
+            len(key),
+            len(change.value),
+        )
+        parts.extend((head, key, change.value))
+    body = zlib.compress(b''.join(parts)) if parts else b''
+    return body if len(body) <= LARGEST_BODY else None
+
+
+def encode_update(update: Update, body: bytes | None) -> bytes:
+    """Write an update with its changes as `encode_changes` packed them."""
+    head = UPDATE.pack(
+        UPDATE_KIND,
+        update.token,
+        update.after,
+        update.revision,
+        update.age,
+        update.stable,
+        body is not None,
+    )
+    return head + (body or b'')
+
+
+def decode_update(payload: bytes) -> Update | None:
+    """Read an update."""
+    head = UpdateHead(*UPDATE.unpack_from(payload))
+    changes = decode_changes(payload[UPDATE.size :])
+    # Comparisons with a float that is no number are false.
+    sound = head.age >= 0 and head.revision >= head.after
+    if changes is None or not sound:
+        return None
+    return Update(
+        token=head.token,
+        after=head.after,
+        revision=head.revision,
+        age=head.age,
+        stable=head.stable,
+        changes=changes if head.whole else None,
+    )
+
+
+def decode_changes(packed: bytes) -> tuple[StoredValue, ...] | None:
+    """Unpack changes, None when they can't be read."""
+    if not packed:
+        return ()
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, LARGEST_UNPACKED)
+        if unpacker.unconsumed_tail:
+            return None
+        return tuple(split_changes(body))
+    except (zlib.error, struct.error, UnicodeDecodeError, EOFError):
+        return None
+
+
+def split_changes(body: bytes) -> list[StoredValue]:
+    """Read one change after the other; EOFError where one is cut short."""
+    changes: list[StoredValue] = []
+    at = 0
+    while at < len(body):
+        revision, removed, key_size, value_size = CHANGE.unpack_from(body, at)
+        key_at = at + CHANGE.size
+        value_at = key_at + key_size
+        at = value_at + value_size
+        if at > len(body):
+            raise EOFError
+        changes.append(
+            StoredValue(
+                key=body[key_at:value_at].decode(),
+                value=body[value_at:at],
+                revision=revision,
+                removed=removed,
+            ),
+        )
+    return changes
--- a/burdocksill_lab/packets/loopback.py
+++ b/burdocksill_lab/packets/loopback.py
@@ -125,6 +125,7 @@
                 f'Node=entry-{self.host}',
                 'Zone=a',
                 f'Ip={self.host}',
+                f'PortRange={self.port + 1},{self.port + 1}',
                 f'Listen.DataAddr={self.host}:{self.port}',
                 f'Listen.ReadyAddr={self.host}:{self.port}',
                 f'platform.Address={STORE_HOST}:{self.store_port}',
@@ -191,6 +192,7 @@
             self.store.serve,
             listeners,
         )
+        self.nursery.start_soon(self.store.run_leases)
         write_manifest(self.store.put, 1, {ROUTE_PORT: 'ledger'})
         for number in range(upstreams):
             await self.add_upstream(number)
--- a/burdocksill_lab/packets/store.py
+++ b/burdocksill_lab/packets/store.py
@@ -26,6 +26,8 @@
 # Keys that operators and upstreams write, which the system may not.
 FOREIGN: Final = ('op/', 'servers/')
 MILLISECONDS: Final = 1000
+# How late a lease may end.
+LEASE_STEP_SECONDS: Final = 0.05
 
 
 class Trouble(enum.Enum):
@@ -64,6 +66,14 @@
         }
 
 
+@attrs.define(kw_only=True)
+class Lease:
+    """Hold how long a lease runs after each renewal, and until when."""
+
+    seconds: float
+    until: float
+
+
 @attrs.define(kw_only=True)
 class LabStore:
     """Hold keys, their history and the watches that wait for changes."""
@@ -74,7 +84,10 @@
     # Watches from before this revision get 410.
     compacted: int = 0
     page_items: int = PAGE_ITEMS
-    leases: dict[int, float] = attrs.field(factory=dict)
+    leases: dict[int, Lease] = attrs.field(factory=dict)
+    leases_begun: int = 0
+    # Hosts that are turned away while the others are served.
+    turned_away: set[str] = attrs.field(factory=set)
     trouble: Trouble = Trouble.NONE
     delay_seconds: float = 0
     calls: list[str] = attrs.field(factory=list)
@@ -121,8 +134,29 @@
         self.compacted = self.revision
         self.history.clear()
 
-    async def serve(self, stream: trio.SocketStream) -> None:
+    async def run_leases(self) -> None:
+        """End leases that are not renewed, for as long as the store runs."""
+        while True:
+            await trio.sleep(LEASE_STEP_SECONDS)
+            now = trio.current_time()
+            for number, lease in list(self.leases.items()):
+                if lease.until < now:
+                    self.end(number)
+
+    def end(self, number: int) -> bool:
+        """End a lease and remove its keys; False when there is none."""
+        if self.leases.pop(number, None) is None:
+            return False
+        for key, item in list(self.items.items()):
+            if item.lease == number:
+                self.remove(key)
+        return True
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
         """Answer the requests of one connection."""
+        if host_of(stream) in self.turned_away:
+            await trio.aclose_forcefully(stream)
+            return
         protocol = h11.Connection(h11.SERVER)
         try:
             await self.serve_all(protocol, stream)
@@ -135,13 +169,15 @@
     async def serve_all(
         self,
         protocol: h11.Connection,
-        stream: trio.SocketStream,
+        stream: trio.abc.Stream,
     ) -> None:
         """Answer one request after the other."""
         while True:
             request = await next_event(protocol, stream)
             if not isinstance(request, h11.Request):
                 return
+            if host_of(stream) in self.turned_away:
+                return
             body = await read_body(protocol, stream)
             reply = await self.answer(request, body)
             if reply is None:
@@ -191,6 +227,11 @@
             '/-/kv-txn': lambda: self.write(json.loads(body)),
             '/-/kv-lease': lambda: self.grant(json.loads(body)),
         }
+        head, _, number = path.rpartition('/')
+        if head == '/-/kv-keep':
+            return self.keep(int(number))
+        if head == '/-/kv-lease-end':
+            return HttpReply(status=OK if self.end(int(number)) else NOT_FOUND)
         found = calls.get(path)
         return found() if found else HttpReply(status=NOT_FOUND)
 
@@ -247,8 +288,12 @@
         puts = wanted.get('Puts', [])
         if any(put['Key'].startswith(FOREIGN) for put in puts):
             return HttpReply(status=FORBIDDEN)
+        leases = {put.get('Lease', 0) for put in puts} - {0}
+        if leases - self.leases.keys():
+            return HttpReply(status=NOT_FOUND)
         for put in puts:
-            self.put(put['Key'], base64.b64decode(put['Value']))
+            value = base64.b64decode(put['Value'])
+            self.put(put['Key'], value, put.get('Lease', 0))
         for key in wanted.get('Delete', []):
             if key in self.items:
                 self.remove(key)
@@ -261,9 +306,28 @@
 
     def grant(self, wanted: dict[str, Any]) -> HttpReply:
         """Begin a lease."""
-        number = len(self.leases) + 1
-        self.leases[number] = trio.current_time()
-        return answered({'Lease': number, 'TtlMs': wanted['TtlMs']})
+        self.leases_begun += 1
+        seconds = wanted['TtlMs'] / MILLISECONDS
+        self.leases[self.leases_begun] = Lease(
+            seconds=seconds,
+            until=trio.current_time() + seconds,
+        )
+        return answered({'Lease': self.leases_begun, **wanted})
+
+    def keep(self, number: int) -> HttpReply:
+        """Renew a lease that still runs."""
+        lease = self.leases.get(number)
+        if lease is None:
+            return HttpReply(status=NOT_FOUND)
+        lease.until = trio.current_time() + lease.seconds
+        return answered({'TtlMs': round(lease.seconds * MILLISECONDS)})
+
+
+def host_of(stream: trio.abc.Stream) -> str:
+    """Return the host at the other end, empty where it isn't known."""
+    if isinstance(stream, trio.SocketStream):
+        return str(stream.socket.getpeername()[0])
+    return str(getattr(stream, 'remote', ''))
 
 
 def answered(body: dict[str, Any], status: int = OK) -> HttpReply:
@@ -277,7 +341,7 @@
 
 async def read_body(
     protocol: h11.Connection,
-    stream: trio.SocketStream,
+    stream: trio.abc.Stream,
 ) -> bytes:
     """Read the body of a request."""
     parts: list[bytes] = []
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -75,6 +75,10 @@
         self.rng = Random(self.seed)
         self.network = DatagramNetwork(timeline=self.timeline)
 
+    def time(self) -> float:
+        """Return the virtual time."""
+        return self.timeline.now
+
     def add_node(self, domain: str) -> LabNode:
         """Start a node that has read the store."""
         host = f'10.1.0.{len(self.nodes) + 1}'
@@ -97,6 +101,8 @@
                 datagrams=socket,
                 decode=decode,
                 rng=Random(self.rng.random()),
+                clock=self.time,
+                age_clock=self.time,
             ),
         )
         self.nodes.append(node)
@@ -170,7 +176,7 @@
         found = Snapshot(values=(change,), revision=self.revision)
         for node in self.nodes:
             if node.follows:
-                node.core.learner.learn_values(found, self.timeline.now)
+                node.core.knowledge.take_changes(found, self.timeline.now)
 
     def read_whole(self, node: LabNode) -> None:
         """Let a node read everything that stands in the store."""
@@ -179,8 +185,7 @@
             for key, value in self.store.items()
         )
         found = Snapshot(values=values, revision=self.revision)
-        node.core.learner.learn_all(found, self.timeline.now)
-        node.core.progress.reach(self.revision, self.timeline.now)
+        node.core.knowledge.take_all(found, self.timeline.now)
 
     def open_flow(self, domain: str, port: int = ROUTE_PORT) -> ClientFlow:
         """Prepare a client's flow; its first request opens it."""
--- a/tests/packets/start.feature
+++ b/tests/packets/start.feature
@@ -70,6 +70,7 @@
     And they hold "burdocksill_answer_seconds_count{service="ledger"} 30.0"
     And they hold "burdocksill_manifest_version 1"
     And they hold "burdocksill_upstreams 2"
+    And they hold "burdocksill_reads_for_domain 1"
 
   Scenario: An opening without a route is refused at once, at any time
     # A node hears of no change for as long as nothing changes; what it knows
--- /dev/null
+++ b/tests/readers/exchange.feature
@@ -0,0 +1,56 @@
+Feature: What a node takes from other nodes
+  Datagrams between nodes may be lost, doubled, late, forged or garbled.
+
+  Scenario: What is written is read alike
+    When changes, removals and odd bytes are written and read again
+    Then they are the same
+
+  Scenario: Garbled datagrams are told from messages
+    # Anything may arrive at a port; none of it may end a node or make it
+    # unpack without bound.
+    When 20000 random and garbled datagrams are read
+    Then each was refused or is a sound message
+    And a datagram that would unpack to 64 MB is refused
+
+  Scenario: An update that nobody asked for changes nothing
+    # A forged datagram names an upstream of its own.
+    Given a node that knows revision 20 and has asked for changes
+    When an update with another token arrives
+    Then nothing has changed
+    When an update arrives from an address that was not asked
+    Then nothing has changed
+    When the update that was asked for arrives
+    Then the node knows revision 25
+
+  Scenario: A late update does not take anything back
+    # A reader that was cut off answers late, with what was so before.
+    Given a node that knows revision 20 and has asked for changes
+    When an update arrives that ends at revision 15
+    Then the node knows revision 20
+    And the upstream of revision 20 is still there
+
+  Scenario: An update after a lost one makes the node ask again
+    Given a node that knows revision 20 and has asked for changes
+    When an update arrives that begins at revision 22
+    Then the node knows revision 20
+    And it asks at once for what came after 20
+
+  Scenario: A reader's troubles with the store are not hidden
+    # Entries lapsed while the store was down. The reader saw it return a
+    # second ago; its follower saw no trouble. Until the entries have had time
+    # to come back, none may be taken for gone.
+    Given a node that knows revision 20 and has asked for changes
+    When an update tells that the store has been fine for 1.0 seconds
+    Then the node counts absences from 1.0 seconds ago
+
+  Scenario: A slow machine offers itself later than a quick one
+    # The domain's reader answers all of its nodes.
+    When 200 nodes of 2.0 and 200 of 0.2 cores miss a reader
+    Then the mean wait of the slow is at least 3 times that of the quick
+    And nobody waits longer than 4.0 seconds
+
+  Scenario: A reader that cannot renew stops to be one in time
+    # The store ends its lease after 4 seconds, and another node is reader then.
+    Given a node that reads for its domain
+    When no renewal succeeds for 4.1 seconds
+    Then it does not read for its domain any more
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -14,8 +14,8 @@
 from burdocksill.network.exchange import HttpReply
 from burdocksill.network.http import HttpConnection
 from burdocksill.network.sockets import SocketNetwork
-from burdocksill.packets.core import Progress
 from burdocksill.packets.follower import Follower
+from burdocksill.packets.knowledge import Knowledge, Progress
 from burdocksill.packets.learner import Learner
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
@@ -287,14 +287,16 @@
         follower = Follower(
             prefix=EVERYTHING,
             source=platform,
-            learner=Learner(
-                table=table,
-                placer=placer,
-                upstreams=upstreams,
-                decode=decode,
+            knowledge=Knowledge(
+                learner=Learner(
+                    table=table,
+                    placer=placer,
+                    upstreams=upstreams,
+                    decode=decode,
+                ),
+                progress=Progress(),
+                clock=trio.current_time,
             ),
-            progress=Progress(),
-            clock=trio.current_time,
             rng=Random(context.seed),
         )
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/tests/steps/readers_exchange.py
@@ -0,0 +1,309 @@
+"""Steps about the messages between nodes, without a network."""
+
+import statistics
+import zlib
+from random import Random
+
+from behave import given, then, when
+from behave.runner import Context
+
+from burdocksill.network.addresses import Address
+from burdocksill.packets.knowledge import Knowledge
+from burdocksill.packets.learner import Learner
+from burdocksill.platform.protocols import StoredValue, SwapResult
+from burdocksill.platform.records import UPSTREAMS
+from burdocksill.readers.claims import Claim
+from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.messages import Reader, ReaderEntry
+from burdocksill.readers.subscription import Subscription
+from burdocksill.readers.wire import (
+    UPDATE,
+    UPDATE_KIND,
+    decode,
+    encode_ask,
+    encode_changes,
+    encode_update,
+)
+from burdocksill_lab.packets.world import PacketWorld
+
+READER = Reader(name='entry-r', address=Address('10.1.0.9', 7720))
+
+
+@when('changes, removals and odd bytes are written and read again')
+def write_and_read(context: Context) -> None:
+    """Write messages and read them."""
+    changes = (
+        StoredValue(key='servers/i-ü', value=b'\xff\x00', revision=7),
+        StoredValue(key='op/x', value=b'', revision=8, removed=True),
+        StoredValue(key='', value=bytes(3000), revision=2**63),
+    )
+    ask = Ask(token=2**64 - 1, revision=5)
+    update = Update(
+        token=1,
+        after=5,
+        revision=2**63,
+        age=0.5,
+        stable=-1.0,
+        changes=changes,
+    )
+    empty = Update(token=1, after=5, revision=5, age=0, stable=1.0)
+    far = Update(
+        token=1,
+        after=5,
+        revision=9,
+        age=0,
+        stable=1.0,
+        changes=None,
+    )
+    context.pairs = [
+        (ask, decode(encode_ask(ask))),
+        (update, decode(encode_update(update, encode_changes(changes)))),
+        (empty, decode(encode_update(empty, encode_changes(())))),
+        (far, decode(encode_update(far, None))),
+    ]
+
+
+@then('they are the same')
+def check_same(context: Context) -> None:
+    """Compare."""
+    for written, read in context.pairs:
+        assert written == read, (written, read)
+
+
+@when('{count:d} random and garbled datagrams are read')
+def read_garbled(context: Context, count: int) -> None:
+    """Read random bytes, and messages with bytes changed."""
+    rng = Random(context.seed)
+    changes = (StoredValue(key='servers/i-1', value=b'{}', revision=7),)
+    update = Update(token=1, after=5, revision=7, age=0.5, stable=2.0)
+    good = encode_update(update, encode_changes(changes))
+    context.read = []
+    for number in range(count):
+        if number % 2:
+            payload = rng.randbytes(rng.randrange(80))
+        else:
+            garbled = bytearray(good[: rng.randrange(1, len(good) + 1)])
+            garbled[rng.randrange(len(garbled))] = rng.randrange(256)
+            payload = bytes(garbled)
+        context.read.append(decode(payload))
+
+
+@then('each was refused or is a sound message')
+def check_sound(context: Context) -> None:
+    """Look at what was read."""
+    for message in context.read:
+        if isinstance(message, Update):
+            assert message.age >= 0
+            assert message.revision >= message.after
+        else:
+            assert message is None or isinstance(message, Ask)
+
+
+@then('a datagram that would unpack to 64 MB is refused')
+def check_bomb(context: Context) -> None:
+    """Read a small datagram with a huge content."""
+    head = UPDATE.pack(UPDATE_KIND, 1, 5, 7, 0.5, 2.0, True)
+    assert decode(head + zlib.compress(bytes(64 << 20))) is None
+
+
+class KnownReaders:
+    """Know one reader of the domain, or none."""
+
+    def __init__(self, *, reader: Reader | None = READER) -> None:
+        """Keep the entry."""
+        entry = ReaderEntry(domain='a', reader=reader, revision=3)
+        self.readers = {'a': entry}
+
+
+@given('a node that knows revision {revision:d} and has asked for changes')
+def make_asker(context: Context, revision: int) -> None:
+    """Prepare a node that has read the store and asked a reader."""
+    world = PacketWorld(seed=context.seed, revision=revision - 2)
+    world.put_manifest(1, {8443: 'ledger'})
+    world.add_upstream('a')
+    node = world.add_node('a')
+    context.known: Knowledge = node.core.knowledge
+    context.learner: Learner = node.core.learner
+    context.before = set(context.learner.upstreams.by_name)
+    context.world = world
+    context.subscription = Subscription(
+        name='entry-1',
+        domain='a',
+        directory=KnownReaders(),
+        knowledge=context.known,
+        clock=world.time,
+        rng=Random(context.seed),
+    )
+    world.timeline.run(2.0)
+    reader, context.ask = context.subscription.next_ask()
+    assert reader == READER
+    assert context.known.revision == revision
+
+
+def tell(
+    context: Context,
+    *,
+    after: int,
+    revision: int,
+    token: int | None = None,
+    sender: Address = READER.address,
+    stable: float = 60.0,
+) -> None:
+    """Hand an update to the node that removes one upstream."""
+    name = next(iter(context.before))
+    gone = StoredValue(
+        key=UPSTREAMS + name,
+        value=b'',
+        revision=revision,
+        removed=True,
+    )
+    update = Update(
+        token=context.ask.token if token is None else token,
+        after=after,
+        revision=revision,
+        age=0.1,
+        stable=stable,
+        changes=(gone,),
+    )
+    context.subscription.take(update, sender)
+
+
+@when('an update with another token arrives')
+def tell_forged(context: Context) -> None:
+    """Hand over an update with a made-up token."""
+    tell(context, after=20, revision=25, token=context.ask.token ^ 1)
+
+
+@when('an update arrives from an address that was not asked')
+def tell_elsewhere(context: Context) -> None:
+    """Hand over an update of another sender."""
+    tell(context, after=20, revision=25, sender=Address('10.1.0.8', 7720))
+
+
+@when('the update that was asked for arrives')
+def tell_right(context: Context) -> None:
+    """Hand over the answer."""
+    tell(context, after=20, revision=25)
+
+
+@when('an update arrives that ends at revision {revision:d}')
+def tell_late(context: Context, revision: int) -> None:
+    """Hand over an update that is older than what is known."""
+    tell(context, after=10, revision=revision)
+
+
+@when('an update arrives that begins at revision {revision:d}')
+def tell_gap(context: Context, revision: int) -> None:
+    """Hand over an update that leaves out changes."""
+    tell(context, after=revision, revision=revision + 3)
+
+
+@when('an update tells that the store has been fine for {seconds:f} seconds')
+def tell_stable(context: Context, seconds: float) -> None:
+    """Hand over an update of a reader that saw trouble."""
+    tell(context, after=20, revision=25, stable=seconds)
+
+
+@then('nothing has changed')
+def check_nothing(context: Context) -> None:
+    """Look at the upstreams and the revision."""
+    upstreams = context.learner.upstreams.by_name.values()
+    assert not any(one.absent_since for one in upstreams)
+    assert context.known.revision == 20
+
+
+@then('the node knows revision {revision:d}')
+def check_revision(context: Context, revision: int) -> None:
+    """Look at the revision."""
+    assert context.known.revision == revision, context.known.revision
+
+
+@then('the upstream of revision {revision:d} is still there')
+def check_present(context: Context, revision: int) -> None:
+    """Look for the upstream."""
+    check_nothing(context)
+
+
+@then('it asks at once for what came after {revision:d}')
+def check_asks(context: Context, revision: int) -> None:
+    """Look at the next ask."""
+    assert context.subscription.asks_in() == 0
+    _, ask = context.subscription.next_ask()
+    assert ask.revision == revision
+
+
+@then('the node counts absences from {seconds:f} seconds ago')
+def check_stable(context: Context, seconds: float) -> None:
+    """Look since when the store counts as fine."""
+    since = context.learner.upstreams.stable_since
+    assert abs(context.world.timeline.now - since - seconds) < 0.01, since
+
+
+def make_claim(context: Context, cores: float, seed: int) -> Claim:
+    """Prepare a node that may offer itself."""
+    context.now = 50.0
+    return Claim(
+        itself=Reader(name='entry-1', address=Address('10.1.0.1', 7720)),
+        domain='a',
+        cores=cores,
+        directory=KnownReaders(reader=None),
+        clock=lambda: context.now,
+        rng=Random(seed),
+    )
+
+
+@when(
+    '{count:d} nodes of {quick:f} and {more:d} of {slow:f} cores miss a reader'
+)
+def miss_reader(
+    context: Context,
+    count: int,
+    quick: float,
+    more: int,
+    slow: float,
+) -> None:
+    """Let nodes draw the time of their offer."""
+    context.waits = {}
+    for cores, number in ((quick, count), (slow, more)):
+        waits = []
+        for seed in range(number):
+            claim = make_claim(context, cores, seed)
+            claim.is_due()
+            waits.append(claim.offer_at - context.now)
+        context.waits[cores] = waits
+
+
+@then('the mean wait of the slow is at least {times:d} times that of the quick')
+def check_waits(context: Context, times: int) -> None:
+    """Compare the waits."""
+    quick, slow = (statistics.mean(one) for one in context.waits.values())
+    assert slow >= times * quick, (quick, slow)
+
+
+@then('nobody waits longer than {limit:f} seconds')
+def check_longest(context: Context, limit: float) -> None:
+    """Look at the longest wait."""
+    longest = max(max(one) for one in context.waits.values())
+    assert longest <= limit, longest
+
+
+@given('a node that reads for its domain')
+def make_reader(context: Context) -> None:
+    """Let an offer succeed."""
+    context.claim = make_claim(context, 1, context.seed)
+    accepted = SwapResult(accepted=True, revision=9, current=None)
+    context.claim.settle(accepted, 7, context.now)
+    assert context.claim.holds
+
+
+@when('no renewal succeeds for {seconds:f} seconds')
+def fail_renewals(context: Context, seconds: float) -> None:
+    """Let time pass."""
+    context.now += seconds
+    context.claim.check()
+
+
+@then('it does not read for its domain any more')
+def check_not_reader(context: Context) -> None:
+    """Look at its state."""
+    assert not context.claim.holds
--- /dev/null
+++ b/tests/steps/readers_fleet.py
@@ -0,0 +1,461 @@
+"""Steps about nodes that share the reading of the store."""
+
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+from behave import given, then, when
+from behave.runner import Context
+
+from burdocksill.packets.knowledge import Progress
+from burdocksill.platform.records import MANIFEST, UPSTREAMS
+from burdocksill_lab.fakes.deterministic import run_seeded
+from burdocksill_lab.packets.fleet import (
+    STORE,
+    FleetNode,
+    SharedFleet,
+    open_fleet,
+)
+from burdocksill_lab.packets.store import Trouble
+
+# Until each domain has a reader and everyone has asked it.
+SETTLE_SECONDS = 7.0
+UPSTREAM_COUNT = 20
+
+Act = Callable[[SharedFleet], Awaitable[None]]
+
+
+@attrs.define
+class Story:
+    """Hold a fleet's size and the steps to play on it."""
+
+    nodes: int
+    domains: int
+    acts: list[Act] = attrs.field(factory=list)
+    chosen: FleetNode | None = None
+    calls: int = 0
+    peer_bytes: int = 0
+    began: float = 0
+
+
+def play(context: Context, check: Act) -> None:
+    """Play the story so far, then a check; all of it on virtual time."""
+    story = context.story
+
+    async def main() -> None:
+        async with open_fleet(context.seed) as fleet:
+            await add_upstreams(fleet)
+            for number in range(story.nodes):
+                await fleet.add_node(f'd{number % story.domains}', cores=0.5)
+            await fleet.run(SETTLE_SECONDS)
+            mark(story, fleet)
+            for act in story.acts:
+                await act(fleet)
+            await check(fleet)
+
+    run_seeded(context.seed, main)
+
+
+def act(context: Context, step: Act) -> None:
+    """Remember a step; it is played by each check that follows."""
+    context.story.acts.append(step)
+
+
+def check(context: Context, step: Act) -> None:
+    """Play the story with a check, which later steps come after."""
+    play(context, step)
+    act(context, step)
+
+
+def mark(story: Story, fleet: SharedFleet) -> None:
+    """Count calls, bytes and ages from now on."""
+    story.calls = len(fleet.store.calls)
+    story.peer_bytes = fleet.peer_bytes
+    story.began = trio.current_time()
+    fleet.oldest = 0
+
+
+async def add_upstreams(fleet: SharedFleet) -> None:
+    """Write the entries of some upstreams."""
+    for number in range(UPSTREAM_COUNT):
+        put_upstream(fleet, number)
+
+
+def put_upstream(fleet: SharedFleet, number: int) -> None:
+    """Write one upstream's entry."""
+    entry = {
+        'Service': 'ledger',
+        'Address': f'10.2.0.{number + 1}:8080',
+        'Zone': 'd0',
+        'Slots': 2,
+        'State': 'ready',
+    }
+    key = f'{UPSTREAMS}i-{number + 1:08x}'
+    fleet.store.put(key, json.dumps(entry).encode())
+
+
+@given('a fleet of {nodes:d} nodes in {domains:d} domains')
+def prepare(context: Context, nodes: int, domains: int) -> None:
+    """Remember the sizes."""
+    context.story = Story(nodes, domains)
+
+
+@given('a network that loses {share:f} of the datagrams')
+def lose_datagrams(context: Context, share: float) -> None:
+    """Let the network lose datagrams from here on."""
+
+    async def step(fleet: SharedFleet) -> None:
+        fleet.network.faults.loss = share
+
+    act(context, step)
+
+
+@when('{seconds:d} quiet seconds pass')
+def wait(context: Context, seconds: int) -> None:
+    """Let time pass."""
+
+    async def step(fleet: SharedFleet) -> None:
+        await fleet.run(seconds)
+
+    act(context, step)
+
+
+@when('a manifest is written')
+def write(context: Context) -> None:
+    """Write the next version."""
+
+    async def step(fleet: SharedFleet) -> None:
+        fleet.put_version()
+
+    act(context, step)
+
+
+@when('{count:d} manifests are written, one each {gap:d} seconds')
+def write_many(context: Context, count: int, gap: int) -> None:
+    """Write versions in a row."""
+
+    async def step(fleet: SharedFleet) -> None:
+        for _ in range(count):
+            fleet.put_version()
+            await fleet.run(gap)
+
+    act(context, step)
+
+
+@when('a manifest of {routes:d} routes is written')
+def write_large(context: Context, routes: int) -> None:
+    """Write a manifest with many routes of odd names."""
+
+    async def step(fleet: SharedFleet) -> None:
+        fleet.put_version()
+        manifest = json.loads(fleet.store.items[MANIFEST].value)
+        first = manifest['Routes'][0]
+        manifest['Routes'] += [
+            {
+                **first,
+                'Name': f'{fleet.rng.getrandbits(64):x}',
+                'Prefix': f'/{number + 10000}/',
+            }
+            for number in range(routes)
+        ]
+        fleet.store.put(MANIFEST, json.dumps(manifest).encode())
+
+    act(context, step)
+
+
+@when('the reader of "{domain}" loses power')
+def lose_power(context: Context, domain: str) -> None:
+    """Take a reader away without a word."""
+
+    async def step(fleet: SharedFleet) -> None:
+        fleet.kill(fleet.reader_of(domain))
+
+    act(context, step)
+
+
+@when('all readers lose power')
+def lose_all(context: Context) -> None:
+    """Take all readers away."""
+
+    async def step(fleet: SharedFleet) -> None:
+        for node in list(fleet.living()):
+            if node.reads:
+                fleet.kill(node)
+
+    act(context, step)
+
+
+@when('the reader of "{domain}" freezes')
+def freeze(context: Context, domain: str) -> None:
+    """Stop a reader's host."""
+
+    async def step(fleet: SharedFleet) -> None:
+        context.story.chosen = fleet.reader_of(domain)
+        fleet.network.pause(context.story.chosen.host)
+
+    act(context, step)
+
+
+@when('it wakes')
+def wake(context: Context) -> None:
+    """Let it go on."""
+
+    async def step(fleet: SharedFleet) -> None:
+        fleet.network.resume(context.story.chosen.host)
+
+    act(context, step)
+
+
+@when('the reader of "{domain}" is cut off from the store')
+def cut_reader(context: Context, domain: str) -> None:
+    """Cut a reader's link to the store."""
+
+    async def step(fleet: SharedFleet) -> None:
+        context.story.chosen = fleet.reader_of(domain)
+        fleet.network.cut([context.story.chosen.host], [STORE.host])
+
+    act(context, step)
+
+
+@when('the store turns all readers away')
+def turn_readers_away(context: Context) -> None:
+    """Let the store refuse the readers."""
+
+    async def step(fleet: SharedFleet) -> None:
+        turned = {node.host for node in fleet.living() if node.reads}
+        fleet.store.turned_away = turned
+
+    act(context, step)
+
+
+@when('the store turns all nodes but the readers away')
+def turn_others_away(context: Context) -> None:
+    """Let the store refuse who does not read for others."""
+
+    async def step(fleet: SharedFleet) -> None:
+        turned = {node.host for node in fleet.living() if not node.reads}
+        fleet.store.turned_away = turned
+
+    act(context, step)
+
+
+@when('"{domain}" is cut off from the other domains')
+def cut_domain(context: Context, domain: str) -> None:
+    """Cut the links between a domain and the others."""
+
+    async def step(fleet: SharedFleet) -> None:
+        near = [n.host for n in fleet.nodes if n.settings.domain == domain]
+        far = [n.host for n in fleet.nodes if n.settings.domain != domain]
+        fleet.network.cut(near, far)
+
+    act(context, step)
+
+
+@when('the store is down for {seconds:d} seconds')
+def store_down(context: Context, seconds: int) -> None:
+    """Let the store refuse everything for a while."""
+
+    async def step(fleet: SharedFleet) -> None:
+        fleet.store.trouble = Trouble.SILENT
+        await fleet.run(seconds)
+        fleet.store.trouble = Trouble.NONE
+
+    act(context, step)
+
+
+@when('upstreams change, one goes, and the history is dropped')
+def drop_history(context: Context) -> None:
+    """Change the list while no watch hears of it."""
+
+    async def step(fleet: SharedFleet) -> None:
+        waiting = fleet.store.changed
+        # Watches that wait hear nothing of these changes.
+        fleet.store.changed = trio.Event()
+        put_upstream(fleet, UPSTREAM_COUNT)
+        fleet.store.remove(f'{UPSTREAMS}i-{1:08x}')
+        fleet.store.compact()
+        waiting.set()
+        mark(context.story, fleet)
+
+    act(context, step)
+
+
+@when('the process of the reader of "{domain}" is killed and starts again')
+def restart(context: Context, domain: str) -> None:
+    """Kill a reader's process; its host lives, and it is back in 0.5 s."""
+
+    async def step(fleet: SharedFleet) -> None:
+        node = fleet.reader_of(domain)
+        fleet.kill(node, silent=False)
+        await fleet.run(0.5)
+        name = node.settings.name
+        context.story.chosen = await fleet.add_node(domain, name=name)
+
+    act(context, step)
+
+
+@when('the reader of "{domain}" stops in an orderly way')
+def stop(context: Context, domain: str) -> None:
+    """Let a reader end as at SIGTERM."""
+
+    async def step(fleet: SharedFleet) -> None:
+        node = fleet.reader_of(domain)
+        context.story.chosen = node
+        await node.following.leave()
+        await fleet.run(1)
+        fleet.kill(node, silent=False)
+
+    act(context, step)
+
+
+@then('at most {count:d} calls a second were made')
+def check_rate(context: Context, count: int) -> None:
+    """Count the calls since the fleet was settled."""
+
+    async def step(fleet: SharedFleet) -> None:
+        seconds = trio.current_time() - context.story.began
+        rate = (len(fleet.store.calls) - context.story.calls) / seconds
+        assert rate <= count, rate
+
+    check(context, step)
+
+
+@then('at most {count:d} calls were made for it')
+def check_count(context: Context, count: int) -> None:
+    """Count the calls since the last mark, renewals left out."""
+
+    async def step(fleet: SharedFleet) -> None:
+        since = fleet.store.calls[context.story.calls :]
+        kinds = Counter(call.partition('?')[0] for call in since)
+        made = sum(n for call, n in kinds.items() if 'keep' not in call)
+        assert made <= count, kinds
+
+    check(context, step)
+
+
+@then('at most {count:d} bytes a second went between nodes for each node')
+def check_bytes(context: Context, count: int) -> None:
+    """Count what nodes sent each other."""
+
+    async def step(fleet: SharedFleet) -> None:
+        seconds = trio.current_time() - context.story.began
+        sent = fleet.peer_bytes - context.story.peer_bytes
+        each = sent / seconds / len(fleet.nodes)
+        assert each <= count, each
+
+    check(context, step)
+
+
+@then("no node's knowledge was older than {limit:f} seconds")
+def check_oldest(context: Context, limit: float) -> None:
+    """Look at the oldest knowledge of any node."""
+
+    async def step(fleet: SharedFleet) -> None:
+        assert 0 < fleet.oldest <= limit, fleet.oldest
+
+    check(context, step)
+
+
+@then('each domain has one reader')
+def check_readers(context: Context) -> None:
+    """Count the readers of each domain."""
+
+    async def step(fleet: SharedFleet) -> None:
+        found = Counter(
+            node.settings.domain for node in fleet.living() if node.reads
+        )
+        wanted = {f'd{n}': 1 for n in range(context.story.domains)}
+        assert found == wanted, found
+
+    check(context, step)
+
+
+@then('"{domain}" has another reader')
+def check_other_reader(context: Context, domain: str) -> None:
+    """Look for a reader that is not the one of before."""
+
+    async def step(fleet: SharedFleet) -> None:
+        reader = fleet.reader_of(domain)
+        assert reader is not context.story.chosen
+
+    check(context, step)
+
+
+@then('the same node reads for "{domain}"')
+def check_same_reader(context: Context, domain: str) -> None:
+    """Look for the node that started again."""
+
+    async def step(fleet: SharedFleet) -> None:
+        assert fleet.reader_of(domain) is context.story.chosen
+
+    check(context, step)
+
+
+@then('it is in force on all nodes within {limit:f} seconds')
+def check_in_force(context: Context, limit: float) -> None:
+    """Wait until the last version is everywhere."""
+
+    async def step(fleet: SharedFleet) -> None:
+        took = await fleet.in_force(fleet.version, limit)
+        shown = Counter(node.version for node in fleet.living())
+        assert took <= limit, (took, shown, fleet.version)
+
+    check(context, step)
+
+
+@then('it is in force on all nodes but the frozen within {limit:f} seconds')
+def check_in_force_but(context: Context, limit: float) -> None:
+    """Wait until the last version is everywhere but on one node."""
+
+    async def step(fleet: SharedFleet) -> None:
+        await fleet.run(limit)
+        old = [
+            node.settings.name
+            for node in fleet.living()
+            if node.version < fleet.version
+        ]
+        assert old in ([], [context.story.chosen.settings.name]), old
+
+    check(context, step)
+
+
+@then('all nodes know the upstreams of the store within {limit:f} seconds')
+def check_upstreams(context: Context, limit: float) -> None:
+    """Compare what nodes know with the store."""
+
+    async def step(fleet: SharedFleet) -> None:
+        await fleet.run(limit)
+        wanted = {
+            key.removeprefix(UPSTREAMS)
+            for key in fleet.store.items
+            if key.startswith(UPSTREAMS)
+        }
+        for node in fleet.living():
+            known = node.core.learner.upstreams.by_name.items()
+            found = {name for name, one in known if not one.absent_since}
+            assert found == wanted, found ^ wanted
+
+    check(context, step)
+
+
+@given('a node that has read the store')
+def make_progress(context: Context) -> None:
+    """Prepare what a node keeps of its reading."""
+    context.now = 100.0
+    context.progress = Progress(clock=lambda: context.now)
+    context.progress.reach(5, context.now)
+    assert Progress().clock() > 0
+
+
+@when('its machine is suspended for {seconds:d} seconds')
+def suspend(context: Context, seconds: int) -> None:
+    """Let the clock that counts suspended time go on."""
+    context.now += seconds
+
+
+@then('its knowledge is {seconds:d} seconds old')
+def check_age(context: Context, seconds: int) -> None:
+    """Look at the age."""
+    assert context.progress.age() == seconds
