Add a soak of the real nodes with faults from outside and a judge of the promises

Cause: faults were played in the small world on virtual time or by the users' bench; nothing harmed real processes by signals, harmed connections and a harmed store in overlapping series.

Change: burdocksill-lab soak draws its plan from a seed, starts nodes as processes, each behind a proxy towards the store, and checks while it runs what clients and upstreams see. Packets of the lab now carry a sum over all that nodes may not change. The judge's decisions are tested without a network, the plan is the seed's, and a control without a guard must be noticed.

--- /dev/null
+++ b/burdocksill_lab/commands/soak.py
@@ -0,0 +1,81 @@
+"""The command `burdocksill-lab soak`."""
+
+import json
+import sys
+from pathlib import Path
+
+import attrs
+import click
+
+from burdocksill_lab.soak.broken import GUARDS
+from burdocksill_lab.soak.run import SoakReport, SoakSettings, play
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True, help='Draws the plan.')
+@click.option(
+    '--minutes',
+    default=1.0,
+    show_default=True,
+    type=click.FloatRange(0.1, 600),
+    help='How long; a round takes 15 seconds.',
+)
+@click.option(
+    '--processes',
+    default=6,
+    show_default=True,
+    type=click.IntRange(2, 250),
+    help='Nodes to start.',
+)
+@click.option(
+    '--without',
+    default='',
+    type=click.Choice(['', *GUARDS]),
+    help='Run nodes without one guard, as a control.',
+)
+@click.option('--logs', type=click.Path(path_type=Path), help='Keep logs here.')
+@click.option('--json', 'as_json', is_flag=True, help='Write a JSON object.')
+def soak(
+    *,
+    seed: int,
+    minutes: float,
+    processes: int,
+    without: str,
+    logs: Path | None,
+    as_json: bool,
+) -> None:
+    """Harm real nodes from outside and check what must hold.
+
+    The seed draws what happens and when; how far a node has come by then
+    depends on the machine.
+
+    \b
+    Exit codes: 0 every promise held, 1 one was broken.
+    """
+    report = play(
+        SoakSettings(
+            seed=seed,
+            minutes=minutes,
+            nodes=processes,
+            without=without,
+            logs=logs,
+        ),
+    )
+    if as_json:
+        click.echo(json.dumps(attrs.asdict(report)))
+    else:
+        show(report)
+    sys.exit(1 if report.violations else 0)
+
+
+def show(report: SoakReport) -> None:
+    """Print a report for people."""
+    click.echo(f'seed {report.seed}')
+    for line in report.troubles:
+        click.echo(f'  {line}')
+    click.echo(f'requests: {report.outcomes}')
+    click.echo(f'checked: {report.checked}')
+    for violation in report.violations:
+        click.echo(
+            f'BROKEN {violation.at} {violation.promise}: {violation.trace}',
+        )
--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -13,6 +13,7 @@
 from burdocksill_lab.commands.packets import packets
 from burdocksill_lab.commands.prove import prove
 from burdocksill_lab.commands.run import run
+from burdocksill_lab.commands.soak import soak
 from burdocksill_lab.commands.stand_ins import fabric, platform, upstream
 from burdocksill_lab.commands.up import up
 from burdocksill_lab.measure_fleet import measure_fleet
@@ -35,7 +36,7 @@
 group.add_command(packets)
 group.add_command(prove)
 group.add_command(run)
-group.add_command(measure_upstreams)
+group.add_command(soak)
 group.add_command(up)
 group.add_command(measure_fleet)
 
--- a/burdocksill_lab/packets/client.py
+++ b/burdocksill_lab/packets/client.py
@@ -7,6 +7,7 @@
 import attrs
 
 from burdocksill.packets.header import ACK, HEADER, RST, SYN, Packet
+from burdocksill_lab.packets.checksum import with_checksum
 from burdocksill_lab.packets.network import Address, Timeline
 
 COPY_SECONDS: Final = (0.2, 0.4)
@@ -166,7 +167,7 @@
             1,
             flags,
         )
-        self.send(head + bytes(length), self.key)
+        self.send(with_checksum(head + bytes(length)), self.key)
 
 
 __all__ = ('Address', 'ClientFlow', 'Outcome', 'Request')
--- a/burdocksill_lab/packets/loopback.py
+++ b/burdocksill_lab/packets/loopback.py
@@ -97,7 +97,10 @@
     host: str
     port: int
     folder: Path
-    store_port: int
+    store: Address
+    domain: str = 'a'
+    # The module that is run; a broken variant of it stands here in controls.
+    command: tuple[str, ...] = ('burdocksill.packets',)
     process: subprocess.Popen[bytes] | None = None
     misses: int = 0
 
@@ -112,7 +115,7 @@
         settings.write_text(self.settings())
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'burdocksill.packets'],
+                [sys.executable, '-m', *self.command],
                 env={**os.environ, VARIABLE: str(settings)},
                 stdout=log,
                 stderr=log,
@@ -123,12 +126,12 @@
         return '\n'.join(
             (
                 f'Node=entry-{self.host}',
-                'Zone=a',
+                f'Zone={self.domain}',
                 f'Ip={self.host}',
                 f'PortRange={self.port + 1},{self.port + 1}',
                 f'Listen.DataAddr={self.host}:{self.port}',
                 f'Listen.ReadyAddr={self.host}:{self.port}',
-                f'platform.Address={STORE_HOST}:{self.store_port}',
+                f'platform.Address={self.store[0]}:{self.store[1]}',
                 'Bounds.GraceS=6',
                 '',
             ),
@@ -139,6 +142,16 @@
         if self.process is not None:
             self.process.send_signal(number)
 
+    def has_ended(self) -> bool:
+        """Return True when no process runs."""
+        return self.process is None or self.process.poll() is not None
+
+    def end(self) -> None:
+        """Kill the process if it still runs."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
     async def probe(self) -> None:
         """Ask for readiness, as routers do."""
         good = False
@@ -202,7 +215,7 @@
                 host=f'127.11.0.{number + 1}',
                 port=self.port,
                 folder=self.folder,
-                store_port=store_port,
+                store=(STORE_HOST, store_port),
                 misses=MISSES,
             )
             self.nodes.append(node)
@@ -299,7 +312,5 @@
     def stop(self) -> None:
         """End the processes that were started here."""
         for node in self.nodes:
-            if node.process is not None:
-                node.process.kill()
-                node.process.wait()
+            node.end()
         self.nursery.cancel_scope.cancel()
--- a/burdocksill_lab/packets/upstream.py
+++ b/burdocksill_lab/packets/upstream.py
@@ -3,7 +3,7 @@
 import enum
 import itertools
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
 from typing import Final
 
@@ -20,6 +20,7 @@
     dotted,
     undotted,
 )
+from burdocksill_lab.packets.checksum import is_intact, with_checksum
 from burdocksill_lab.packets.network import Address, Network, Timeline
 
 ANSWER_BYTES: Final = 100
@@ -66,6 +67,10 @@
     running: int = 0
     # Opening packets that were taken, with their times.
     opened: list[float] = attrs.field(factory=list)
+    # Told of each packet that opens a flow here.
+    on_open: Callable[['LabUpstream', Packet], None] | None = None
+    # Packets that were not as their sender wrote them.
+    altered: int = 0
     ran: int = 0
 
     @property
@@ -79,6 +84,7 @@
         if self.condition is Condition.DARK or tag not in {0, self.tag}:
             return
         packet = Packet(*HEADER.unpack_from(payload, TAG.size))
+        self.altered += not is_intact(payload[TAG.size :])
         if self.condition is Condition.REFUSING:
             self.refuse(packet)
         elif packet.opens:
@@ -107,6 +113,8 @@
         flow = HeldFlow(echo=packet.echo, expected=packet.seq)
         if packet.flow not in self.flows:
             self.opened.append(self.timeline.now)
+            if self.on_open is not None:
+                self.on_open(self, packet)
         self.flows[packet.flow] = flow
         self.answer(packet, flow, SYN | ACK)
 
@@ -157,7 +165,8 @@
             flags,
         )
         target = (dotted(packet.client), self.client_port)
-        self.network.send(head + bytes(length), self.address, target)
+        payload = with_checksum(head + bytes(length))
+        self.network.send(payload, self.address, target)
 
     def restart(self) -> None:
         """Lose all flows, as a process does that is started anew."""
--- /dev/null
+++ b/burdocksill_lab/soak/run.py
@@ -0,0 +1,143 @@
+"""Play a soak and tell what it found."""
+
+import math
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import attrs
+import trio
+
+from burdocksill_lab.packets.world import ROUTE_PORT
+from burdocksill_lab.processes import free_port
+from burdocksill_lab.soak.day import DOMAINS, TOGGLED_PORT, SoakDay
+from burdocksill_lab.soak.judge import Judge, Violation
+from burdocksill_lab.soak.plan import ROUND_SECONDS, draw_plan
+from burdocksill_lab.soak.processes import check_logs, check_processes
+from burdocksill_lab.soak.troubles import Troublemaker
+
+USERS_PER_DOMAIN: Final = 12
+PROBERS_PER_DOMAIN: Final = 2
+UPSTREAMS: Final = 8
+WATCH_SECONDS: Final = 1.0
+# After the last round, so that its last requests end.
+SETTLE_SECONDS: Final = 3.0
+READY_SECONDS: Final = 30.0
+MINUTE: Final = 60
+
+
+@attrs.frozen(kw_only=True)
+class SoakSettings:
+    """Hold what a soak is made of."""
+
+    seed: int
+    minutes: float
+    nodes: int
+    # Name of the guard that the nodes run without, empty for none.
+    without: str = ''
+    # Where logs are kept; nowhere when it is None.
+    logs: Path | None = None
+
+    @property
+    def rounds(self) -> int:
+        """Return how many rounds fit into the time, one at least."""
+        return max(1, math.floor(self.minutes * MINUTE / ROUND_SECONDS))
+
+    @property
+    def command(self) -> tuple[str, ...]:
+        """Return the module that nodes run, with its arguments."""
+        if self.without:
+            return ('burdocksill_lab.soak.broken', self.without)
+        return ('burdocksill.packets',)
+
+
+@attrs.frozen(kw_only=True)
+class SoakReport:
+    """Hold what a soak found."""
+
+    seed: int
+    violations: list[Violation]
+    outcomes: dict[str, int]
+    checked: dict[str, int]
+    troubles: list[str]
+
+
+def play(settings: SoakSettings) -> SoakReport:
+    """Play a soak on loopback, from its own processes' start to their end."""
+    with tempfile.TemporaryDirectory() as folder:
+        logs = settings.logs or Path(folder)
+        logs.mkdir(parents=True, exist_ok=True)
+        return trio.run(run, settings, logs)
+
+
+async def run(settings: SoakSettings, logs: Path) -> SoakReport:
+    """Play all rounds of a soak."""
+    async with trio.open_nursery() as nursery:
+        zero = trio.current_time()
+        judge = Judge(clock=trio.current_time)
+        day = SoakDay(
+            nursery=nursery,
+            folder=logs,
+            port=free_port('127.0.0.1'),
+            rng=Random(settings.seed),
+            judge=judge,
+            command=settings.command,
+        )
+        maker = Troublemaker(day=day)
+        try:
+            await serve(day, maker, settings)
+        finally:
+            day.stop()
+    return SoakReport(
+        seed=settings.seed,
+        violations=[
+            attrs.evolve(one, at=round(one.at - zero, 3))
+            for one in judge.violations
+        ],
+        outcomes=dict(judge.outcomes),
+        checked=dict(judge.checked),
+        troubles=maker.told,
+    )
+
+
+async def serve(
+    day: SoakDay,
+    maker: Troublemaker,
+    settings: SoakSettings,
+) -> None:
+    """Let users send requests while the plan is carried out."""
+    await day.start(nodes=settings.nodes, upstreams=UPSTREAMS)
+    await maker.wait_until_ready()
+    day.judge.calm_since = trio.current_time()
+    began = trio.current_time()
+    async with trio.open_nursery() as users:
+        for domain in DOMAINS:
+            for _ in range(USERS_PER_DOMAIN):
+                users.start_soon(use_long, day, domain)
+            for _ in range(PROBERS_PER_DOMAIN):
+                users.start_soon(use_toggled, day, domain)
+        users.start_soon(watch, day)
+        await maker.run(draw_plan(settings.seed, settings.rounds), began)
+        await trio.sleep_until(began + settings.rounds * ROUND_SECONDS)
+        await trio.sleep(SETTLE_SECONDS)
+        users.cancel_scope.cancel()
+    check_logs(day)
+
+
+async def use_long(day: SoakDay, domain: str) -> None:
+    """Use one flow for as long as it lives."""
+    await day.use(domain, ROUTE_PORT, long=True)
+
+
+async def use_toggled(day: SoakDay, domain: str) -> None:
+    """Open a flow for each request to the route that comes and goes."""
+    await day.use(domain, TOGGLED_PORT, long=False)
+
+
+async def watch(day: SoakDay) -> None:
+    """Look at processes and packets."""
+    while True:
+        await trio.sleep(WATCH_SECONDS)
+        check_processes(day)
+        day.judge.look_for_changes()
--- a/tests/steps/packets_start.py
+++ b/tests/steps/packets_start.py
@@ -175,7 +175,7 @@
         host='127.11.0.1',
         port=free_port('127.0.0.1'),
         folder=folder,
-        store_port=1,
+        store=('127.10.0.1', 1),
     )
     name = line.partition('=')[0]
     lines = [
@@ -361,7 +361,7 @@
         host='127.11.0.1',
         port=free_port('127.0.0.1'),
         folder=Path(tempfile.mkdtemp()),
-        store_port=1,
+        store=('127.10.0.1', 1),
     )
     context.place = (node.host, node.port)
     context.file = node.folder / 'node.conf'
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -34,6 +34,7 @@
     'lab/bench.feature',
     'lab/processes.feature',
     'docs/examples.feature',
+    'lab/soak.feature',
 )
 # The scenarios of promises that nobody has proved yet skip themselves. They
 # are printed as not run; a scenario skipped anywhere else counts as failed.
