--- a/burdocksill/packets/main.py
+++ b/burdocksill/packets/main.py
@@ -2,7 +2,6 @@
 
 import logging
 import os
-import signal
 import sys
 from random import Random
 from typing import Final
@@ -59,9 +58,6 @@
 
 def main(early: EarlySockets) -> None:
     """Serve packets until SIGTERM, on the sockets that were bound early."""
-    # Until the program is there that reloads at this signal, it must not end
-    # the process, as it does by default.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = read_settings()
     except (BurdocksillError, OSError) as error:
--- a/burdocksill/platform/early.py
+++ b/burdocksill/platform/early.py
@@ -1,12 +1,14 @@
-"""Bind a node's sockets before anything larger is imported.
+"""Prepare a node's process before anything larger is imported.
 
 A process that starts again is sent packets and probes all the while. Importing
 what handles them takes 0.1 s of a core, half a second on a machine with a
 quarter of one; what comes before a socket is bound is lost, and its sender
-repeats it up to 1.6 s later. So this module imports next to nothing.
+repeats it up to 1.6 s later. SIGHUP ends a process that has not said otherwise.
+So this module imports next to nothing, and runs first.
 """
 
 import os
+import signal
 import socket
 
 # Where the platform names the settings file.
@@ -84,11 +86,13 @@
 
 
 def bind_early() -> EarlySockets:
-    """Bind what the settings file names.
+    """Bind what the settings file names, and ignore SIGHUP for now.
 
-    An address that can't be read or bound is left out: the program meets the
-    same error later, when it can write it down.
+    Once the program runs it reads its settings anew at that signal; until
+    then they are new. An address that can't be read or bound is left out: the
+    program meets the same error later, when it can write it down.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     text = read_text()
     packets = find_place(text, PACKETS)
     probes = find_place(text, PROBES)
--- a/burdocksill_lab/commands/soak.py
+++ b/burdocksill_lab/commands/soak.py
@@ -27,6 +27,13 @@
     type=click.IntRange(2, 250),
     help='Nodes to start.',
 )
+@click.option(
+    '--skip',
+    default=0,
+    show_default=True,
+    type=click.IntRange(0),
+    help='Rounds of the plan to leave out at its beginning.',
+)
 @click.option(
     '--without',
     default='',
@@ -40,6 +47,7 @@
     seed: int,
     minutes: float,
     processes: int,
+    skip: int,
     without: str,
     logs: Path | None,
     as_json: bool,
@@ -57,6 +65,7 @@
             seed=seed,
             minutes=minutes,
             nodes=processes,
+            skipped=skip,
             without=without,
             logs=logs,
         ),
--- a/burdocksill_lab/packets/loopback.py
+++ b/burdocksill_lab/packets/loopback.py
@@ -37,6 +37,7 @@
 GOOD: Final = b'HTTP/1.1 200'
 GAP_SECONDS: Final = 0.01
 START_SECONDS: Final = 20.0
+HEX: Final = 16
 
 
 @attrs.define(kw_only=True)
@@ -146,6 +147,18 @@
         """Return True when no process runs."""
         return self.process is None or self.process.poll() is not None
 
+    def survives_hang_up(self) -> bool:
+        """Return True once the process ignores or handles SIGHUP."""
+        if self.process is None or self.has_ended():
+            return False
+        status = Path(f'/proc/{self.process.pid}/status').read_text()
+        masks = [
+            int(line.split()[1], HEX)
+            for line in status.splitlines()
+            if line.startswith(('SigIgn:', 'SigCgt:'))
+        ]
+        return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
     def end(self) -> None:
         """Kill the process if it still runs."""
         if self.process is not None:
@@ -163,14 +176,14 @@
         """Return True for an answer that says ready."""
         try:
             stream = await trio.open_tcp_stream(self.host, self.port)
-        except OSError:
-            # Not started yet, or gone: that is what a probe is to find out.
+            async with stream:
+                await stream.send_all(READY)
+                answer = await stream.receive_some(RECEIVE_BYTES)
+        except (OSError, trio.BrokenResourceError):
+            # Not started yet, gone, or killed while the probe waited: that is
+            # what a probe is to find out.
             return False
-        async with stream:
-            await stream.send_all(READY)
-            return bytes(await stream.receive_some(RECEIVE_BYTES)).startswith(
-                GOOD,
-            )
+        return bytes(answer).startswith(GOOD)
 
 
 @attrs.define(kw_only=True)
--- a/tests/lab/soak.feature
+++ b/tests/lab/soak.feature
@@ -45,3 +45,16 @@
     # A control: without the guard the same soak must end with a violation.
     When a soak of seed 1 runs for 0.25 minutes with 2 nodes without "packets"
     Then "packets arrive as they were sent" was broken
+
+  Scenario Outline: Seeds that once failed
+    # Seed 9: SIGHUP reached a process 75 ms after its start and ended it; it
+    # is ignored before anything is imported since.
+    # Seed 7: a node was killed while a probe waited for its answer, and the
+    # lab itself ended.
+    When rounds from <skip> of seed <seed> run for <minutes> minutes with 6 nodes
+    Then no promise was broken
+
+    Examples:
+      | seed | skip | minutes |
+      | 9    | 2    | 0.25    |
+      | 7    | 1    | 0.25    |
--- a/tests/packets/start.feature
+++ b/tests/packets/start.feature
@@ -66,6 +66,7 @@
     Given a settings file with both addresses
     When the sockets are bound early in a new process
     Then both addresses are bound
+    And SIGHUP no longer ends the process
     And none of "attr", "attrs", "json", "logging", "h11", "trio" was imported
 
   Scenario: An address that is taken ends the start with an error
--- a/tests/steps/lab_soak.py
+++ b/tests/steps/lab_soak.py
@@ -200,6 +200,23 @@
     )
 
 
+@when(
+    'rounds from {skip:d} of seed {seed:d} run for {minutes:f} minutes '
+    'with {nodes:d} nodes'
+)
+def run_rounds(
+    context: Context,
+    skip: int,
+    seed: int,
+    minutes: float,
+    nodes: int,
+) -> None:
+    """Play a part of a soak."""
+    context.report = play(
+        SoakSettings(seed=seed, minutes=minutes, nodes=nodes, skipped=skip),
+    )
+
+
 @then('no promise was broken')
 def check_report(context: Context) -> None:
     """Look at the report."""
--- /dev/null
+++ b/tools/reader_cost.py
@@ -0,0 +1,85 @@
+"""Measure what a reader spends on each ask of another node."""
+
+import socket
+import time
+from random import Random
+from typing import Final
+
+import trio
+
+from burdocksill.network.addresses import Address
+from burdocksill.network.sockets import SocketNetwork
+from burdocksill.readers.changes import ChangeLog
+from burdocksill.readers.datagrams import Ask
+from burdocksill.readers.exchange import PeerExchange
+from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.subscription import Subscription
+from burdocksill.readers.wire import encode_ask
+from burdocksill_lab.packets.world import ROUTE_PORT, PacketWorld
+
+ASKS: Final = 2_000
+# A second's asks of 714 followers, evenly spread.
+GAP_SECONDS: Final = 1.6 / 714
+MICROSECONDS: Final = 1_000_000
+
+
+async def serve(exchange: PeerExchange, reader: Address) -> tuple[float, float]:
+    """Answer asks one by one; return the processor time with and without."""
+    plain = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    payload = encode_ask(
+        Ask(token=1, revision=exchange.publisher.knowledge.revision),
+    )
+    with plain:
+        idle = await spend(plain, payload, None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(exchange.receive)
+            busy = await spend(plain, payload, reader)
+            nursery.cancel_scope.cancel()
+    return busy, idle
+
+
+async def spend(
+    plain: socket.socket,
+    payload: bytes,
+    reader: Address | None,
+) -> float:
+    """Send asks at their pace, or only wait as long; return seconds."""
+    began = time.process_time()
+    for _ in range(ASKS):
+        if reader is not None:
+            plain.sendto(payload, (reader.host, reader.port))
+        await trio.sleep(GAP_SECONDS)
+    return time.process_time() - began
+
+
+async def main() -> None:
+    """Print the cost of an ask."""
+    world = PacketWorld(seed=1)
+    world.put_manifest(1, {ROUTE_PORT: 'ledger'})
+    core = world.add_node('a').core
+    sockets = await SocketNetwork().open_datagrams(Address('127.0.0.1', 0))
+    revision = core.knowledge.revision
+    exchange = PeerExchange(
+        socket=sockets,
+        subscription=Subscription(
+            name='r',
+            domain='a',
+            directory=core.learner,
+            knowledge=core.knowledge,
+            clock=time.monotonic,
+            rng=Random(1),
+        ),
+        publisher=Publisher(
+            knowledge=core.knowledge,
+            log=ChangeLog(start=revision, end=revision),
+            clock=time.monotonic,
+            send=sockets.send,
+        ),
+    )
+    busy, idle = await serve(exchange, sockets.local)
+    each = (busy - idle) / ASKS * MICROSECONDS
+    print(f'{each:.0f} us an ask, its sending included')
+
+
+if __name__ == '__main__':
+    trio.run(main)
