Keep the readers' slice free of the platform's formats; count the soak's own stalls

Users and upstreams run in the soak's process: while it gets no processor no upstream answers, and nodes rightly conclude silence.

Change: a stall of 0.15 s of the soak's own process counts as a disturbance and is printed. The clock of ages moves to network, the reader's entry is written by whoever composes a node, so readers imports neither packets nor records.

--- a/burdocksill/packets/clock.py
+++ b/burdocksill/network/clock.py
@@ -1,4 +1,4 @@
-"""The clocks of the packet path."""
+"""Steady clocks."""
 
 import time
 from collections.abc import Callable
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from burdocksill.packets.clock import Clock, boot_seconds
+from burdocksill.network.clock import Clock, boot_seconds
 from burdocksill.packets.decisions import PacketDecisions
 from burdocksill.packets.forwarder import Forwarder
 from burdocksill.packets.header import LARGEST_PACKET
--- a/burdocksill/packets/following.py
+++ b/burdocksill/packets/following.py
@@ -7,14 +7,15 @@
 import trio
 
 from burdocksill.network.addresses import Address
+from burdocksill.network.clock import Clock
 from burdocksill.network.http import HttpConnection
 from burdocksill.network.protocols import Network
-from burdocksill.packets.clock import Clock
 from burdocksill.packets.follower import Follower
 from burdocksill.packets.knowledge import Knowledge
 from burdocksill.packets.learner import Learner
 from burdocksill.packets.settings import PacketSettings
-from burdocksill.platform.records import EVERYTHING
+from burdocksill.platform.keys import READERS
+from burdocksill.platform.records import EVERYTHING, write_reader
 from burdocksill.platform.store import StorePlatform
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.claims import Claim
@@ -152,8 +153,9 @@
     knowledge.listeners.append(publisher.publish)
     # A waiting call holds its connection, so leases have one of their own.
     platform = make_platform(settings, around)
+    itself = Reader(name=settings.name, address=peer)
     claim = Claim(
-        itself=Reader(name=settings.name, address=peer),
+        itself=itself,
         domain=settings.domain,
         cores=settings.cores,
         directory=directory,
@@ -168,6 +170,8 @@
         ),
         candidate=Candidate(
             claim=claim,
+            key=READERS + settings.domain,
+            value=write_reader(itself),
             store=platform,
             subscription=subscription,
         ),
--- a/burdocksill/packets/knowledge.py
+++ b/burdocksill/packets/knowledge.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from burdocksill.packets.clock import Clock, boot_seconds
+from burdocksill.network.clock import Clock, boot_seconds
 from burdocksill.packets.learner import Learner
 from burdocksill.platform.protocols import Snapshot, StoredValue
 
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -9,9 +9,9 @@
 import attrs
 import trio
 
+from burdocksill.network.clock import Clock
 from burdocksill.network.exchange import HttpReply
 from burdocksill.network.http import serve_connection
-from burdocksill.packets.clock import Clock
 from burdocksill.packets.core import PacketCore
 from burdocksill.packets.faststart import import_while_serving
 from burdocksill.packets.following import Following
--- a/burdocksill/readers/claims.py
+++ b/burdocksill/readers/claims.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from burdocksill.packets.clock import Clock
+from burdocksill.network.clock import Clock
 from burdocksill.platform.protocols import SwapResult
 from burdocksill.readers.messages import Reader, ReaderEntry
 from burdocksill.readers.protocols import Directory
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -8,8 +8,6 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.network.protocols import DatagramSocket
 from burdocksill.observe.lines import StateLine
-from burdocksill.platform.keys import READERS
-from burdocksill.platform.records import write_reader
 from burdocksill.readers.claims import KEEP_SECONDS, LEASE_SECONDS, Claim
 from burdocksill.readers.datagrams import Ask, Update
 from burdocksill.readers.protocols import LeaseStore
@@ -92,6 +90,9 @@
     """Offer this node as its domain's reader, and keep the lease if it is."""
 
     claim: Claim
+    # The domain's entry in the store, and what this node writes there.
+    key: str
+    value: bytes
     store: LeaseStore
     subscription: Subscription
     # The store's client makes one call at a time; a stop may come in between.
@@ -132,8 +133,8 @@
         expected = self.claim.entry.revision
         lease = await self.store.grant(LEASE_SECONDS)
         result = await self.store.swap(
-            key=READERS + self.claim.domain,
-            value=write_reader(self.claim.itself),
+            key=self.key,
+            value=self.value,
             expected_revision=expected,
             lease=lease,
         )
--- a/burdocksill/readers/publisher.py
+++ b/burdocksill/readers/publisher.py
@@ -6,7 +6,7 @@
 import attrs
 
 from burdocksill.network.addresses import Address
-from burdocksill.packets.clock import Clock
+from burdocksill.network.clock import Clock
 from burdocksill.platform.protocols import Snapshot, StoredValue
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.datagrams import Ask, Update
--- a/burdocksill_lab/commands/soak.py
+++ b/burdocksill_lab/commands/soak.py
@@ -84,6 +84,7 @@
         click.echo(f'  {line}')
     click.echo(f'requests: {report.outcomes}')
     click.echo(f'checked: {report.checked}')
+    click.echo(f'the soak itself stood still: {report.stalls} times')
     for violation in report.violations:
         click.echo(
             f'BROKEN {violation.at} {violation.promise}: {violation.trace}',
--- a/burdocksill_lab/soak/judge.py
+++ b/burdocksill_lab/soak/judge.py
@@ -18,6 +18,8 @@
 # A reset may reach a client this long after its upstream ended: a flow is
 # looked at when its user turns to it again.
 ENDED_SECONDS: Final = 12.0
+# A flow that was ended because the soak stood still is looked at within this.
+STOOD_SECONDS: Final = 2.0
 NO_ROUTE: Final = ('', 0)
 
 
@@ -59,6 +61,9 @@
     # How many troubles last, and when the last one ended.
     troubles: int = 0
     calm_since: float = 0
+    # When the soak itself last stood still, and how often it did.
+    stood_at: float = float('-inf')
+    stalls: int = 0
 
     def begin(self) -> None:
         """Take note that a trouble begins."""
@@ -69,6 +74,17 @@
         self.troubles -= 1
         self.calm_since = self.clock()
 
+    def stood_still(self) -> None:
+        """Take note that this process, and so every upstream, stood still.
+
+        Upstreams that answer nothing for 0.2 s look as if they were gone, and
+        clients' deadlines pass: nodes can't know better.
+        """
+        self.stalls += 1
+        self.stood_at = self.clock()
+        self.begin()
+        self.end()
+
     def is_calm(self, since: float) -> bool:
         """Return True if nothing was troubled from some time on."""
         return not self.troubles and since - self.calm_since >= CALM_SECONDS
@@ -143,6 +159,8 @@
         if upstream is None or upstream.condition is not Condition.WELL:
             return
         ended = self.ledger.ended.get(upstream.name, float('-inf'))
+        if self.clock() - self.stood_at < STOOD_SECONDS:
+            return
         if self.clock() - ended > ENDED_SECONDS:
             self.blame('a flow lives as long as its upstream', self.tell(flow))
 
--- a/burdocksill_lab/soak/run.py
+++ b/burdocksill_lab/soak/run.py
@@ -21,6 +21,10 @@
 PROBERS_PER_DOMAIN: Final = 2
 UPSTREAMS: Final = 8
 WATCH_SECONDS: Final = 1.0
+# The soak's process is looked at this often; waking up later than that by as
+# much as a client waits before it sends again means that it stood still.
+TICK_SECONDS: Final = 0.05
+STALL_SECONDS: Final = 0.15
 # After the last round, so that its last requests end.
 SETTLE_SECONDS: Final = 3.0
 READY_SECONDS: Final = 30.0
@@ -72,6 +76,8 @@
     outcomes: dict[str, int]
     checked: dict[str, int]
     troubles: list[str]
+    # How often the soak itself stood still, which no seed repeats.
+    stalls: int
 
 
 def play(settings: SoakSettings) -> SoakReport:
@@ -109,6 +115,7 @@
         outcomes=dict(judge.outcomes),
         checked=dict(judge.checked),
         troubles=maker.told,
+        stalls=judge.stalls,
     )
 
 
@@ -129,6 +136,7 @@
             for _ in range(PROBERS_PER_DOMAIN):
                 users.start_soon(use_toggled, day, domain)
         users.start_soon(watch, day)
+        users.start_soon(watch_itself, day.judge)
         await maker.run(settings.plan(), began)
         await trio.sleep_until(began + settings.rounds * ROUND_SECONDS)
         await trio.sleep(SETTLE_SECONDS)
@@ -152,3 +160,12 @@
         await trio.sleep(WATCH_SECONDS)
         check_processes(day)
         day.judge.look_for_changes()
+
+
+async def watch_itself(judge: Judge) -> None:
+    """Notice when this process gets no processor."""
+    while True:
+        due = trio.current_time() + TICK_SECONDS
+        await trio.sleep_until(due)
+        if trio.current_time() - due > STALL_SECONDS:
+            judge.stood_still()
--- a/tests/steps/packets_start.py
+++ b/tests/steps/packets_start.py
@@ -316,8 +316,13 @@
             network=SocketNetwork(),
             remote=Address(node.host, node.port),
         )
-        reply = await connection.exchange('GET', '/-/metrics')
-        context.page = reply.body.decode()
+        # A node offers itself as reader within a second of its start.
+        for _ in range(round(LINE_SECONDS / 0.5)):
+            reply = await connection.exchange('GET', '/-/metrics')
+            context.page = reply.body.decode()
+            if 'burdocksill_reads_for_domain 1' in context.page:
+                break
+            await trio.sleep(0.5)
 
     play(context, work)
 
