Wait between offers that the store does not answer

Found by reading: after an outage that ends leases, a domain's last reader finds its own old entry and offered itself twice a second while the store was down, each try one more call to a store in trouble. Now 1.5 s lie between tries, and the log says when calls for the lease fail and when they are answered again, once each.

--- a/burdocksill/readers/claims.py
+++ b/burdocksill/readers/claims.py
@@ -16,6 +16,9 @@
 LEASE_SECONDS: Final = 4.0
 # Three renewals may fail before the lease ends.
 KEEP_SECONDS: Final = 1.2
+# After an offer that the store did not answer the next one waits this long, so
+# that a store in trouble is not called more often than a reader calls it.
+RETRY_SECONDS: Final = 1.5
 # Nodes that miss a reader offer themselves at random times up to this one, so
 # that most see another's offer before their own: a claim takes 10 ms to be
 # seen. With 27 nodes in a domain about one in two claims is in vain.
@@ -44,6 +47,8 @@
     kept_at: float = 0
     # When to offer; 0 while there is a reader.
     offer_at: float = 0
+    # No offer before this time.
+    retry_at: float = 0
 
     @property
     def holds(self) -> bool:
@@ -62,7 +67,7 @@
         An entry with its own name is left from its life before, or from a
         claim whose answer was lost: nobody reads by it.
         """
-        if self.holds:
+        if self.holds or self.clock() < self.retry_at:
             return False
         reader = self.entry.reader
         if reader is not None and reader.name == self.itself.name:
@@ -99,6 +104,10 @@
         else:
             self.lose('the lease has ended')
 
+    def failed(self) -> None:
+        """Take note of a call that the store did not answer."""
+        self.retry_at = self.clock() + RETRY_SECONDS
+
     def check(self) -> None:
         """Stop to be the reader once the lease must have ended."""
         if self.holds and self.clock() - self.kept_at > LEASE_SECONDS:
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -1,6 +1,7 @@
 """The tasks that talk to other nodes about the store."""
 
 import logging
+from typing import Final
 
 import attrs
 import trio
@@ -16,9 +17,9 @@
 from burdocksill.readers.wire import decode, encode_ask
 
 # How often a node looks whether its domain lacks a reader.
-LOOK_SECONDS = 0.5
+LOOK_SECONDS: Final = 0.5
 # Between two looks at the time; trio's timers are later than this at times.
-SHORTEST_SLEEP_SECONDS = 0.02
+SHORTEST_SLEEP_SECONDS: Final = 0.02
 
 logger = logging.getLogger(__name__)
 
@@ -98,6 +99,7 @@
     # The store's client makes one call at a time; a stop may come in between.
     lock: trio.Lock = attrs.field(factory=trio.Lock)
     stopped: bool = False
+    line: StateLine = attrs.field(factory=lambda: StateLine(logger=logger))
 
     async def run(self) -> None:
         """Offer and renew until the node stops."""
@@ -109,7 +111,14 @@
             except BurdocksillError as error:
                 # Nothing is lost: the lease runs on, or nobody holds one and
                 # each node reads the store by itself until the next try.
-                logger.warning('lease call failed', extra={'cause': str(error)})
+                self.claim.failed()
+                self.line.enter(
+                    'lease call failed',
+                    level=logging.WARNING,
+                    cause=str(error),
+                )
+            else:
+                self.line.enter('lease calls answered', level=logging.DEBUG)
             self.claim.check()
             self.subscription.reads = self.claim.holds
 
--- a/burdocksill/readers/subscription.py
+++ b/burdocksill/readers/subscription.py
@@ -57,7 +57,6 @@
     asked_at: float = float('-inf')
     # Asks since the last good answer.
     tries: int = 0
-    heard_at: float = float('-inf')
     asked: OrderedDict[int, Asked] = attrs.field(factory=OrderedDict)
 
     @property
@@ -144,5 +143,4 @@
         )
         if update.age <= ASK_AGE_SECONDS:
             self.tries = 0
-            self.heard_at = self.clock()
         return True
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -54,3 +54,10 @@
     Given a node that reads for its domain
     When no renewal succeeds for 4.1 seconds
     Then it does not read for its domain any more
+
+  Scenario: A store in trouble is not called by offers without end
+    # The store is down and every lease has ended. Each domain's last reader
+    # finds its own old entry, and offered itself twice a second.
+    Given a node that finds its own old entry
+    When its offers fail for 6 seconds
+    Then it has offered itself at most 5 times
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -307,3 +307,27 @@
 def check_not_reader(context: Context) -> None:
     """Look at its state."""
     assert not context.claim.holds
+
+
+@given('a node that finds its own old entry')
+def make_returned(context: Context) -> None:
+    """Prepare a node whose entry of before still stands."""
+    context.claim = make_claim(context, 1, context.seed)
+    context.claim.directory = KnownReaders(reader=context.claim.itself)
+
+
+@when('its offers fail for {seconds:d} seconds')
+def fail_offers(context: Context, seconds: int) -> None:
+    """Let every offer go unanswered."""
+    context.offers = 0
+    for _ in range(seconds * 2):
+        if context.claim.is_due():
+            context.offers += 1
+            context.claim.failed()
+        context.now += 0.5
+
+
+@then('it has offered itself at most {count:d} times')
+def check_offers(context: Context, count: int) -> None:
+    """Count the offers."""
+    assert 0 < context.offers <= count, context.offers
