--- a/burdocksill_lab/packets/client.py
+++ b/burdocksill_lab/packets/client.py
@@ -1,7 +1,7 @@
 """A client of the packet world, with the repeats of its protocol."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
@@ -170,4 +170,18 @@
         self.send(with_checksum(head + bytes(length)), self.key)
 
 
-__all__ = ('Address', 'ClientFlow', 'Outcome', 'Request')
+def hand_over(
+    flows: Mapping[tuple[int, ...], ClientFlow], payload: bytes
+) -> None:
+    """Give a packet for clients to the flow that it is for, if that is there.
+
+    Towards a client the route is the sender, so the pairs stand swapped.
+    """
+    packet = Packet(*HEADER.unpack_from(payload))
+    key = (packet.address, packet.port, packet.client, packet.client_port)
+    flow = flows.get(key)
+    if flow is not None:
+        flow.receive(packet)
+
+
+__all__ = ('Address', 'ClientFlow', 'Outcome', 'Request', 'hand_over')
--- a/burdocksill_lab/packets/loopback.py
+++ b/burdocksill_lab/packets/loopback.py
@@ -13,9 +13,9 @@
 import attrs
 import trio
 
-from burdocksill.packets.header import HEADER, Packet, undotted
+from burdocksill.packets.header import undotted
 from burdocksill.platform.early import VARIABLE
-from burdocksill_lab.packets.client import ClientFlow, Outcome
+from burdocksill_lab.packets.client import ClientFlow, Outcome, hand_over
 from burdocksill_lab.packets.network import Address, Receiver
 from burdocksill_lab.packets.store import LabStore
 from burdocksill_lab.packets.upstream import LabUpstream
@@ -297,11 +297,7 @@
 
     def receive(self, payload: bytes, _: Address) -> None:
         """Hand a packet to the client's flow that it is for."""
-        packet = Packet(*HEADER.unpack_from(payload))
-        key = (packet.address, packet.port, packet.client, packet.client_port)
-        flow = self.clients.get(key)
-        if flow is not None:
-            flow.receive(packet)
+        hand_over(self.clients, payload)
 
     async def request_all(self, rounds: int, pause: float) -> None:
         """Send requests on all flows, some rounds with pauses between."""
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -10,7 +10,7 @@
 
 from burdocksill.network.addresses import Address as Place
 from burdocksill.packets.core import PacketCore, make_core
-from burdocksill.packets.header import HEADER, Packet, dotted, undotted
+from burdocksill.packets.header import dotted, undotted
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.platform.protocols import Snapshot, StoredValue
 from burdocksill.platform.records import (
@@ -19,7 +19,7 @@
     UPSTREAMS,
     decode,
 )
-from burdocksill_lab.packets.client import ClientFlow
+from burdocksill_lab.packets.client import ClientFlow, hand_over
 from burdocksill_lab.packets.network import (
     Address,
     DatagramNetwork,
@@ -215,12 +215,7 @@
 
     def receive(self, payload: bytes, _: Address) -> None:
         """Hand a packet to the client's flow that it is for."""
-        packet = Packet(*HEADER.unpack_from(payload))
-        # Towards a client the route is the sender, so the pairs stand swapped.
-        key = (packet.address, packet.port, packet.client, packet.client_port)
-        flow = self.clients.get(key)
-        if flow is not None:
-            flow.receive(packet)
+        hand_over(self.clients, payload)
 
     def route(
         self,
--- a/burdocksill_lab/soak/day.py
+++ b/burdocksill_lab/soak/day.py
@@ -9,9 +9,9 @@
 import attrs
 import trio
 
-from burdocksill.packets.header import FIN, HEADER, Packet, undotted
+from burdocksill.packets.header import FIN, undotted
 from burdocksill.platform.records import DOMAINS_OUT, UPSTREAMS
-from burdocksill_lab.packets.client import ClientFlow
+from burdocksill_lab.packets.client import ClientFlow, hand_over
 from burdocksill_lab.packets.loopback import (
     MISSES,
     PROBE_SECONDS,
@@ -257,11 +257,7 @@
 
     def receive(self, payload: bytes, _: Address) -> None:
         """Hand a packet to the client's flow that it is for."""
-        packet = Packet(*HEADER.unpack_from(payload))
-        key = (packet.address, packet.port, packet.client, packet.client_port)
-        flow = self.flows.get(key)
-        if flow is not None:
-            flow.receive(packet)
+        hand_over(self.flows, payload)
 
     async def use(self, domain: str, port: int, *, long: bool) -> None:
         """Send requests for ever: on one flow while it lives, or each anew."""
