--- a/burdocksill_lab/soak/run.py
+++ b/burdocksill_lab/soak/run.py
@@ -18,6 +18,9 @@
 from burdocksill_lab.soak.troubles import Troublemaker
 
 USERS_PER_DOMAIN: Final = 12
+# Users that open a flow for each request: only openings show where new flows
+# go, and users of long flows have none in calm times.
+FRESH_PER_DOMAIN: Final = 3
 PROBERS_PER_DOMAIN: Final = 2
 UPSTREAMS: Final = 8
 WATCH_SECONDS: Final = 1.0
@@ -133,6 +136,8 @@
         for domain in DOMAINS:
             for _ in range(USERS_PER_DOMAIN):
                 users.start_soon(use_long, day, domain)
+            for _ in range(FRESH_PER_DOMAIN):
+                users.start_soon(use_fresh, day, domain)
             for _ in range(PROBERS_PER_DOMAIN):
                 users.start_soon(use_toggled, day, domain)
         users.start_soon(watch, day)
@@ -149,6 +154,11 @@
     await day.use(domain, ROUTE_PORT, long=True)
 
 
+async def use_fresh(day: SoakDay, domain: str) -> None:
+    """Open a flow for each request."""
+    await day.use(domain, ROUTE_PORT, long=False)
+
+
 async def use_toggled(day: SoakDay, domain: str) -> None:
     """Open a flow for each request to the route that comes and goes."""
     await day.use(domain, TOGGLED_PORT, long=False)
