--- a/burdocksill_lab/main.py
+++ b/burdocksill_lab/main.py
@@ -9,6 +9,7 @@
 from burdocksill.exceptions import BurdocksillError
 from burdocksill_lab.commands.bench import bench
 from burdocksill_lab.commands.demo import demo
+from burdocksill_lab.commands.load import play_load
 from burdocksill_lab.commands.measure_upstreams import measure_upstreams
 from burdocksill_lab.commands.packets import packets
 from burdocksill_lab.commands.prove import prove
@@ -28,6 +29,7 @@
 
 
 group.add_command(demo)
+group.add_command(play_load)
 group.add_command(measure_upstreams)
 group.add_command(bench)
 group.add_command(platform)
--- a/burdocksill_lab/packets/deployment.py
+++ b/burdocksill_lab/packets/deployment.py
@@ -30,6 +30,7 @@
 # After the burst: callers' last tries and deadlines.
 SETTLE_SECONDS: Final = 6.0
 SLICE_SECONDS: Final = 0.5
+SAMPLE_SECONDS: Final = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -74,6 +75,8 @@
     callers: list[Callers] = attrs.field(factory=list)
     began_at: float = 0
     burst_seconds: float = 0
+    # Requests on each upstream, at the times of the samples.
+    samples: list[tuple[float, list[int]]] = attrs.field(factory=list)
 
     def build(self) -> None:
         """Start upstreams and nodes."""
@@ -123,11 +126,29 @@
             self.call(f'd{number}', FEED_PORT, wave.times(feeds))
             offers = part * OFFER_SHARE
             self.call(f'd{number}', OFFER_PORT, wave.times(offers))
+        self.sample()
         self.world.run(2 * CALM_SECONDS + seconds)
         for one in self.callers:
             one.stopped = True
         self.world.run(SETTLE_SECONDS)
 
+    def sample(self) -> None:
+        """Note the requests on each upstream, and go on to do so."""
+        timeline = self.world.timeline
+        on_each = [
+            one.running + len(one.queue)
+            for one in self.world.upstreams.values()
+        ]
+        self.samples.append((timeline.now - self.began_at, on_each))
+        timeline.after(SAMPLE_SECONDS, self.sample)
+
+    def imbalance(self, begin: float, end: float) -> float:
+        """Return the busiest upstream's requests over the mean, by time."""
+        found = [each for at, each in self.samples if begin <= at < end]
+        totals = [sum(column) for column in zip(*found, strict=True)]
+        mean = sum(totals) / len(totals)
+        return float(max(totals) / max(1, mean))
+
     def call(self, domain: str, port: int, rate: Rate) -> None:
         """Let callers of one kind and domain begin."""
         callers = Callers(
