--- a/tests/packets/admission.feature
+++ b/tests/packets/admission.feature
@@ -60,6 +60,14 @@
     When calls come at 0.1 of its capacity, and at 0.1 for 10 seconds
     Then at least 0.95 of the calls are served
 
+  Scenario: A service that turned slow refuses nobody for being late
+    # The same, nearer to what it can still run. If late answers alone moved
+    # the limit, one call in twelve would be refused, and none served sooner.
+    Given a deployment under load with admission
+    And all upstreams work 5 times as long
+    When calls come at 0.16 of its capacity, and at 0.16 for 10 seconds
+    Then at most 0.02 of the calls met a refusal
+
   Scenario: One that was put aside is no way out of a load
     # An upstream fell silent and seems the emptiest. Those that are well are
     # full: a flow sent to the silent one would wait for its client's deadline.
