Add failing tests: large manifests do not reach nodes behind thin links

What callers saw: routes of a manifest that operators had replaced more than 5 s before, and new flows on upstreams that had said 5 s before that they leave.

The lab's network can carry a bounded number of bytes a second to a host now.

The story that scenarios of the shared reading tell moves out of the step file, as two step files use it now.

--- a/burdocksill_lab/fakes/network.py
+++ b/burdocksill_lab/fakes/network.py
@@ -12,6 +12,7 @@
 import trio
 
 from burdocksill.network.protocols import Address, Datagram, DatagramSocket
+from burdocksill_lab.fakes.links import WINDOW_BYTES, ThinLink
 
 ONE_WAY_SECONDS: Final = 0.001
 FIRST_PORT: Final = 40000
@@ -109,11 +110,33 @@
             raise trio.BrokenResourceError
         chunk = bytes(data)
         peer = self.other()
-        self.deliver(lambda: peer.feed(chunk))
+        link = self.network.links.get(self.remote)
+        if link is None:
+            self.deliver(lambda: peer.feed(chunk))
+        else:
+            self.feed_over(link, peer, chunk)
+
+    def feed_over(
+        self,
+        link: ThinLink,
+        peer: 'FakeStream',
+        chunk: bytes,
+    ) -> None:
+        """Send bytes as a link carries them, until the other end closes."""
+        now = trio.current_time()
+        window, rest = chunk[:WINDOW_BYTES], chunk[WINDOW_BYTES:]
+
+        def act() -> None:
+            peer.feed(window)
+            if rest and not peer.closed:
+                self.feed_over(link, peer, rest)
+
+        self.deliver(act, link.passes_at(now, len(window)) - now)
 
-    def deliver(self, act: Callable[[], None]) -> None:
+    def deliver(self, act: Callable[[], None], passing: float = 0) -> None:
         """Let something happen at the other end, in order."""
-        at = max(trio.current_time() + ONE_WAY_SECONDS, self.last_at)
+        at = trio.current_time() + ONE_WAY_SECONDS + passing
+        at = max(at, self.last_at)
         self.last_at = at
         self.network.schedule(at, lambda: self.attempt(act))
 
@@ -196,6 +219,8 @@
     sprayed: dict[Address, list[Address]] = attrs.field(factory=dict)
     streams: list[FakeStream] = attrs.field(factory=list)
     cuts: set[tuple[str, str]] = attrs.field(factory=set)
+    # Hosts whose links are thin; streams to all others take no time to send.
+    links: dict[str, ThinLink] = attrs.field(factory=dict)
     dead: set[str] = attrs.field(factory=set)
     paused: set[str] = attrs.field(factory=set)
     resumed: trio.Event = attrs.field(factory=trio.Event)
--- a/burdocksill_lab/packets/store.py
+++ b/burdocksill_lab/packets/store.py
@@ -26,6 +26,7 @@
 # Keys that operators and upstreams write, which the system may not.
 FOREIGN: Final = ('op/', 'servers/')
 MILLISECONDS: Final = 1000
+SENT_BYTES: Final = 16384
 # How late a lease may end.
 LEASE_STEP_SECONDS: Final = 0.05
 
@@ -40,6 +41,8 @@
     SILENT = 'silent'
     # Writes are done, and their answers lost.
     LOST = 'lost'
+    # Answers stop half-way.
+    HALF = 'half'
 
 
 @attrs.define(kw_only=True)
@@ -90,6 +93,8 @@
     turned_away: set[str] = attrs.field(factory=set)
     trouble: Trouble = Trouble.NONE
     delay_seconds: float = 0
+    # What the store's link carries; 0 for any amount.
+    bytes_per_second: float = 0
     calls: list[str] = attrs.field(factory=list)
     changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -182,9 +187,23 @@
             reply = await self.answer(request, body)
             if reply is None:
                 return
-            await stream.send_all(write_reply(protocol, reply))
+            written = write_reply(protocol, reply)
+            if self.trouble is Trouble.HALF:
+                await stream.send_all(written[: len(written) // 2])
+                await trio.sleep_forever()
+            await self.send(stream, written)
             protocol.start_next_cycle()
 
+    async def send(self, stream: trio.abc.Stream, written: bytes) -> None:
+        """Send an answer, not faster than the store's link carries it."""
+        if not self.bytes_per_second:
+            await stream.send_all(written)
+            return
+        for start in range(0, len(written), SENT_BYTES):
+            part = written[start : start + SENT_BYTES]
+            await stream.send_all(part)
+            await trio.sleep(len(part) / self.bytes_per_second)
+
     async def answer(
         self, request: h11.Request, body: bytes
     ) -> HttpReply | None:
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -46,6 +46,14 @@
       | many    | burdocksill.E108 |
       | reset   | burdocksill.E101 |
       | silent  | burdocksill.E101 |
+      | half    | burdocksill.E109 |
+
+  Scenario: An answer may take longer than the time-out while it arrives
+    # Callers were routed by a manifest that operators had replaced: the link
+    # of the node needed longer for it than a call was given, time and again.
+    Given a value of 300000 bytes behind a link of 2 Mbit/s
+    When everything is read
+    Then 1 values were read in 1 calls
 
   Scenario: A lost answer of a write is resolved by reading back
     # The write was done and its answer lost. To write again would fail its
--- /dev/null
+++ b/tests/readers/thin_links.feature
@@ -0,0 +1,22 @@
+Feature: Large changes reach nodes behind thin links
+  A large manifest is no datagram's content, so each node reads it from the
+  store over its own link, on virtual time here.
+
+  Scenario: A manifest that grows and changes again is in force in time
+    # Callers were routed by a manifest that operators had replaced more than
+    # five seconds before. It had grown by many routes and changed once more
+    # within a second; the nodes with thin links stayed at the old one.
+    Given a fleet of 12 nodes in 3 domains
+    And links of 5 Mbit/s for all nodes but the readers
+    When a manifest of 1500 routes is written 2 times
+    Then it is in force on all nodes within 5.0 seconds
+
+  Scenario: An upstream that leaves while a manifest grows gets no new flow
+    # Callers got new flows on upstreams that had said five seconds before that
+    # they leave. The nodes with thin links had heard nothing since a manifest
+    # had grown by many routes.
+    Given a fleet of 12 nodes in 3 domains
+    And links of 5 Mbit/s for all nodes but the readers
+    When a manifest of 1500 routes is written 2 times
+    And an upstream starts to leave
+    Then no node gives it new flows after 5.0 seconds
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -25,6 +25,8 @@
 from burdocksill.platform.store import StorePlatform
 from burdocksill_lab.packets.store import LabStore, Trouble
 
+MEGABIT_BYTES = 125_000
+
 Work = Callable[[StorePlatform], Awaitable[Any]]
 
 
@@ -75,6 +77,13 @@
         context.store.put(key, b'{}')
 
 
+@given('a value of {size:d} bytes behind a link of {megabits:d} Mbit/s')
+def make_thin(context: Context, size: int, megabits: int) -> None:
+    """Fill a store whose answers take long to arrive."""
+    context.store = LabStore(bytes_per_second=megabits * MEGABIT_BYTES)
+    context.store.put('op/large', bytes(size))
+
+
 @when('everything is read')
 def read_all(context: Context) -> None:
     """Read every key."""
--- a/tests/steps/readers_fleet.py
+++ b/tests/steps/readers_fleet.py
@@ -1,100 +1,25 @@
 """Steps about nodes that share the reading of the store."""
 
-import json
 from collections import Counter
-from collections.abc import Awaitable, Callable
 
-import attrs
 import trio
 from behave import given, then, when
 from behave.runner import Context
+from reading_story import (
+    UPSTREAM_COUNT,
+    Story,
+    act,
+    check,
+    grow_manifest,
+    mark,
+    put_upstream,
+)
 
 from burdocksill.packets.knowledge import Progress
-from burdocksill.platform.records import MANIFEST, UPSTREAMS
-from burdocksill_lab.fakes.deterministic import run_seeded
-from burdocksill_lab.packets.fleet import (
-    STORE,
-    FleetNode,
-    SharedFleet,
-    open_fleet,
-)
+from burdocksill.platform.records import UPSTREAMS
+from burdocksill_lab.packets.fleet import STORE, SharedFleet
 from burdocksill_lab.packets.store import Trouble
 
-# Until each domain has a reader and everyone has asked it.
-SETTLE_SECONDS = 7.0
-UPSTREAM_COUNT = 20
-
-Act = Callable[[SharedFleet], Awaitable[None]]
-
-
-@attrs.define
-class Story:
-    """Hold a fleet's size and the steps to play on it."""
-
-    nodes: int
-    domains: int
-    acts: list[Act] = attrs.field(factory=list)
-    chosen: FleetNode | None = None
-    calls: int = 0
-    peer_bytes: int = 0
-    began: float = 0
-
-
-def play(context: Context, check: Act) -> None:
-    """Play the story so far, then a check; all of it on virtual time."""
-    story = context.story
-
-    async def main() -> None:
-        async with open_fleet(context.seed) as fleet:
-            await add_upstreams(fleet)
-            for number in range(story.nodes):
-                await fleet.add_node(f'd{number % story.domains}', cores=0.5)
-            await fleet.run(SETTLE_SECONDS)
-            mark(story, fleet)
-            for act in story.acts:
-                await act(fleet)
-            await check(fleet)
-
-    run_seeded(context.seed, main)
-
-
-def act(context: Context, step: Act) -> None:
-    """Remember a step; it is played by each check that follows."""
-    context.story.acts.append(step)
-
-
-def check(context: Context, step: Act) -> None:
-    """Play the story with a check, which later steps come after."""
-    play(context, step)
-    act(context, step)
-
-
-def mark(story: Story, fleet: SharedFleet) -> None:
-    """Count calls, bytes and ages from now on."""
-    story.calls = len(fleet.store.calls)
-    story.peer_bytes = fleet.peer_bytes
-    story.began = trio.current_time()
-    fleet.oldest = 0
-
-
-async def add_upstreams(fleet: SharedFleet) -> None:
-    """Write the entries of some upstreams."""
-    for number in range(UPSTREAM_COUNT):
-        put_upstream(fleet, number)
-
-
-def put_upstream(fleet: SharedFleet, number: int) -> None:
-    """Write one upstream's entry."""
-    entry = {
-        'Service': 'ledger',
-        'Address': f'10.2.0.{number + 1}:8080',
-        'Zone': 'd0',
-        'Slots': 2,
-        'State': 'ready',
-    }
-    key = f'{UPSTREAMS}i-{number + 1:08x}'
-    fleet.store.put(key, json.dumps(entry).encode())
-
 
 @given('a fleet of {nodes:d} nodes in {domains:d} domains')
 def prepare(context: Context, nodes: int, domains: int) -> None:
@@ -149,18 +74,7 @@
     """Write a manifest with many routes of odd names."""
 
     async def step(fleet: SharedFleet) -> None:
-        fleet.put_version()
-        manifest = json.loads(fleet.store.items[MANIFEST].value)
-        first = manifest['Routes'][0]
-        manifest['Routes'] += [
-            {
-                **first,
-                'Name': f'{fleet.rng.getrandbits(64):x}',
-                'Prefix': f'/{number + 10000}/',
-            }
-            for number in range(routes)
-        ]
-        fleet.store.put(MANIFEST, json.dumps(manifest).encode())
+        grow_manifest(fleet, routes)
 
     act(context, step)
 
--- /dev/null
+++ b/tests/steps/readers_thin_links.py
@@ -0,0 +1,100 @@
+"""Steps about nodes whose links carry little."""
+
+from behave import given, then, when
+from behave.runner import Context
+from reading_story import (
+    act,
+    check,
+    grow_manifest,
+    put_upstream,
+)
+
+from burdocksill.packets.messages import UpstreamState
+from burdocksill_lab.fakes.links import ThinLink
+from burdocksill_lab.packets.fleet import SharedFleet
+
+MEGABIT_BYTES = 125_000
+LEAVING = 3
+# What operators' writes of such a manifest take.
+WRITE_SECONDS = 0.9
+
+
+def thin(fleet: SharedFleet, megabits: int, *, readers: bool) -> None:
+    """Give nodes links that carry little."""
+    for node in fleet.living():
+        if readers or not node.reads:
+            rate = megabits * MEGABIT_BYTES
+            link = ThinLink(bytes_per_second=rate)
+            fleet.network.links[node.host] = link
+
+
+@given('links of {megabits:d} Mbit/s for all nodes but the readers')
+def thin_followers(context: Context, megabits: int) -> None:
+    """Let the nodes that read for their domains have better links."""
+
+    async def step(fleet: SharedFleet) -> None:
+        thin(fleet, megabits, readers=False)
+
+    act(context, step)
+
+
+@given('links of {megabits:d} Mbit/s for all nodes')
+def thin_all(context: Context, megabits: int) -> None:
+    """Give all nodes such links."""
+
+    async def step(fleet: SharedFleet) -> None:
+        thin(fleet, megabits, readers=True)
+
+    act(context, step)
+
+
+@when('a manifest of {routes:d} routes is written {times:d} times')
+def write_again(context: Context, routes: int, times: int) -> None:
+    """Write versions of a large manifest, each as soon as the last is in."""
+
+    async def step(fleet: SharedFleet) -> None:
+        grow_manifest(fleet, routes)
+        for _ in range(times - 1):
+            await fleet.run(WRITE_SECONDS)
+            grow_manifest(fleet, routes)
+
+    act(context, step)
+
+
+@when('an upstream starts to leave')
+def leave(context: Context) -> None:
+    """Let an upstream tell that it leaves."""
+
+    async def step(fleet: SharedFleet) -> None:
+        put_upstream(fleet, LEAVING, state='draining')
+
+    act(context, step)
+
+
+@then('no node gives it new flows after {limit:f} seconds')
+def check_left(context: Context, limit: float) -> None:
+    """Look at what each node believes of it."""
+
+    async def step(fleet: SharedFleet) -> None:
+        await fleet.run(limit)
+        name = f'i-{LEAVING + 1:08x}'
+        late = [
+            node.settings.name
+            for node in fleet.living()
+            if node.core.learner.upstreams.by_name[name].record.state
+            is not UpstreamState.DRAINING
+        ]
+        assert not late, late
+
+    check(context, step)
+
+
+@then('no node takes in more than {megabytes:f} MB for it')
+def check_bytes(context: Context, megabytes: float) -> None:
+    """Count what came over the thin links."""
+
+    async def step(fleet: SharedFleet) -> None:
+        most = max(one.carried_bytes for one in fleet.network.links.values())
+        assert most <= megabytes * 1_000_000, most
+
+    check(context, step)
