Take a connection that is closed during a call for a failed call

What users would see: the settings name another address of the store, and the process of a node that waits for changes ends with ClosedResourceError; all nodes that read the store do so at once.

The new scenario failed before, with that error out of the call. The call fails with E101 now and the next one goes to the new address.

--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -75,6 +75,7 @@
             OSError,
             h11.ProtocolError,
             trio.BrokenResourceError,
+            trio.ClosedResourceError,
             trio.TooSlowError,
         ) as error:
             self.count(0)
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -57,6 +57,13 @@
     When everything is read
     Then 1 values were read in 1 calls
 
+  Scenario: A connection that is closed during a call fails that call
+    # The settings named another address of the store while a watch waited, and
+    # the node's process ended with an error that nothing took.
+    Given a store with 3 keys in pages of 500
+    When everything is read
+    Then a watch whose connection is closed fails with "burdocksill.E101"
+
   Scenario: A lost answer of a write is resolved by reading back
     # The write was done and its answer lost. To write again would fail its
     # own condition and look like somebody else's change.
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -152,6 +152,28 @@
     assert getattr(error, 'code', 'none') == code, error
 
 
+@then('a watch whose connection is closed fails with "{code}"')
+def check_closed(context: Context, code: str) -> None:
+    """Close the connection while a watch waits for changes."""
+
+    async def close_soon(platform: StorePlatform) -> None:
+        await trio.sleep(0.2)
+        await platform.connection.close()
+
+    async def work(platform: StorePlatform) -> Any:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(close_soon, platform)
+            after = context.found.revision
+            try:
+                await platform.changes(prefix=EVERYTHING, after=after)
+            except BurdocksillError as error:
+                return error.code
+        return 'none'
+
+    found = with_store(context, work)
+    assert found == code, found
+
+
 @when('the store\'s trouble is "{name}"')
 def set_trouble(context: Context, name: str) -> None:
     """Let the store misbehave."""
