Learn a whole reading as what it changes

A whole reading decoded every entry, those included that were in force already.

What a reading changes was worked out for other nodes already; the node now learns the same changes itself, so Learner.learn_all and missing go.

--- a/burdocksill/packets/knowledge.py
+++ b/burdocksill/packets/knowledge.py
@@ -102,9 +102,8 @@
         self.learner.regain_touch(self.clock())
         if found.revision < self.progress.revision:
             return
-        self.learner.learn_all(found, self.clock())
         self.progress.incomplete = False
-        self.advance(self.difference(found), current_at)
+        self.take(self.difference(found), current_at)
 
     def take_changes(self, found: Snapshot, current_at: float) -> None:
         """Take in changes that the store has told."""
@@ -135,6 +134,10 @@
         newer = found.changed(
             values=tuple(one for one in found.values if one.revision > before),
         )
+        self.take(newer, current_at)
+
+    def take(self, newer: Snapshot, current_at: float) -> None:
+        """Put changes into force and take note of them."""
         self.learner.learn_values(newer, self.clock())
         self.advance(newer, current_at)
 
@@ -154,7 +157,8 @@
         """Return a whole reading as changes of what was known before.
 
         What the reading doesn't show was removed, by its revision at the
-        latest.
+        latest. What was known is not learned again: a large manifest would
+        keep packets waiting while it is decoded.
         """
         before = self.progress.revision
         gone = self.sizes.keys() - {one.key for one in found.values}
--- a/burdocksill/packets/learner.py
+++ b/burdocksill/packets/learner.py
@@ -51,42 +51,11 @@
         for news in self.read(found):
             self.learn(news, now)
 
-    def learn_all(self, found: Snapshot, now: float) -> None:
-        """Take in a whole reading; what it does not show is not there."""
-        news = self.read(found)
-        for one in (*news, *self.missing(news)):
-            self.learn(one, now)
-
     def regain_touch(self, now: float) -> None:
         """Count from now on how long the store has worked."""
         if not self.upstreams.stable_since:
             self.upstreams.stable_since = now
 
-    def missing(self, news: list[News]) -> list[News]:
-        """Return what was there before and a whole reading does not show."""
-        shown = {
-            found.record.name
-            for found in news
-            if isinstance(found, UpstreamNews)
-        }
-        out = {found.domain for found in news if isinstance(found, DomainNews)}
-        readers = {
-            found.entry.domain
-            for found in news
-            if isinstance(found, ReaderNews)
-        }
-        return [
-            *(
-                ReaderNews(ReaderEntry(domain=name))
-                for name in self.readers.keys() - readers
-            ),
-            *(
-                UpstreamLost(name)
-                for name in self.upstreams.by_name.keys() - shown
-            ),
-            *(DomainNews(name, out=False) for name in self.placer.out - out),
-        ]
-
     def learn(self, news: News, now: float) -> None:
         """Take in one change."""
         match news:
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -61,3 +61,11 @@
     Given a node that finds its own old entry
     When its offers fail for 6 seconds
     Then it has offered itself at most 5 times
+
+  Scenario: A whole reading is learned as what it changes
+    # The history was dropped while little changed. To decode a large manifest
+    # again that is in force already would keep packets waiting.
+    Given a node that knows the store
+    When the store is read whole after one upstream came and one went
+    Then 2 entries were decoded
+    And the node knows the upstreams that stand
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -12,7 +12,7 @@
 from burdocksill.packets.learner import Learner
 from burdocksill.platform.protocols import SwapResult
 from burdocksill.platform.records import UPSTREAMS
-from burdocksill.platform.values import StoredValue
+from burdocksill.platform.values import Snapshot, StoredValue
 from burdocksill.readers.claims import Claim
 from burdocksill.readers.datagrams import Ask, Update
 from burdocksill.readers.messages import Reader, ReaderEntry
@@ -332,3 +332,58 @@
 def check_offers(context: Context, count: int) -> None:
     """Count the offers."""
     assert 0 < context.offers <= count, context.offers
+
+
+@given('a node that knows the store')
+def make_knowing(context: Context) -> None:
+    """Prepare a node that has read the store."""
+    world = PacketWorld(seed=context.seed)
+    world.put_manifest(1, {8443: 'ledger'})
+    context.going = world.add_upstream('a')
+    context.staying = world.add_upstream('a')
+    context.node = world.add_node('a')
+    context.world = world
+
+
+@when('the store is read whole after one upstream came and one went')
+def read_again(context: Context) -> None:
+    """Read the store once more, with two changes, and count what is decoded."""
+    world, learner = context.world, context.node.core.learner
+    before = {key: world.revision for key in world.store}
+    decode_entry = learner.decode
+    context.decoded = []
+
+    def count(stored: StoredValue) -> object:
+        context.decoded.append(stored.key)
+        return decode_entry(stored)
+
+    learner.decode = count
+    context.node.follows = False
+    context.coming = world.add_upstream('a')
+    world.deregister(context.going)
+    found = Snapshot(
+        values=tuple(
+            StoredValue(
+                key=key,
+                value=value,
+                revision=before.get(key, world.revision),
+            )
+            for key, value in world.store.items()
+        ),
+        revision=world.revision,
+    )
+    context.node.core.knowledge.take_all(found, world.timeline.now)
+
+
+@then('{count:d} entries were decoded')
+def check_decoded(context: Context, count: int) -> None:
+    """Count them."""
+    assert len(context.decoded) == count, context.decoded
+
+
+@then('the node knows the upstreams that stand')
+def check_standing(context: Context) -> None:
+    """Compare the node's upstreams with those of the store."""
+    known = context.node.core.learner.upstreams.by_name
+    there = {name for name, one in known.items() if not one.absent_since}
+    assert there == {context.staying.name, context.coming.name}, there
