--- a/tests/steps/packets_admission.py
+++ b/tests/steps/packets_admission.py
@@ -237,7 +237,12 @@
     pages = [
         MetricsPage(
             core=node.core,
-            following=SimpleNamespace(calls=Counter(), reads=False),
+            following=SimpleNamespace(
+                calls=Counter(),
+                reads=False,
+                received_bytes=0,
+                cut_short=0,
+            ),
         ).render(world.timeline.now)
         for node in world.nodes
     ]
