--- a/burdocksill/packets/knowledge.py
+++ b/burdocksill/packets/knowledge.py
@@ -7,7 +7,11 @@
 from burdocksill.network.clock import Clock, boot_seconds
 from burdocksill.packets.learner import Learner
 from burdocksill.platform.calls import item_bytes
-from burdocksill.platform.values import Snapshot, StoredValue
+from burdocksill.platform.values import (
+    Snapshot,
+    StoredValue,
+    newest_of_each,
+)
 
 NOTHING_READ = float('-inf')
 # Takes the revision before, and the changes since.
@@ -131,10 +135,10 @@
     def take_newer(self, found: Snapshot, current_at: float) -> None:
         """Learn what is newer than all that is known."""
         before = self.progress.revision
-        newer = found.changed(
-            values=tuple(one for one in found.values if one.revision > before),
-        )
-        self.take(newer, current_at)
+        # Versions of a manifest that were replaced meanwhile aren't decoded.
+        newest = newest_of_each(found.values)
+        newer = tuple(one for one in newest if one.revision > before)
+        self.take(found.changed(values=newer), current_at)
 
     def take(self, newer: Snapshot, current_at: float) -> None:
         """Put changes into force and take note of them."""
--- a/burdocksill/platform/values.py
+++ b/burdocksill/platform/values.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from burdocksill.values import Value
 
 
@@ -43,3 +45,12 @@
         self.revision = revision
         # For how long after it was asked the store saw no change.
         self.unchanged_seconds = unchanged_seconds
+
+
+def newest_of_each(changes: Iterable[StoredValue]) -> tuple[StoredValue, ...]:
+    """Return the last change of each key, in the order of the changes."""
+    newest: dict[str, StoredValue] = {}
+    for change in changes:
+        newest.pop(change.key, None)
+        newest[change.key] = change
+    return tuple(newest.values())
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -62,6 +62,20 @@
     When its offers fail for 6 seconds
     Then it has offered itself at most 5 times
 
+  Scenario: Of several versions that come at once the newest is learned
+    # A node that was behind got two versions of a large manifest in one answer,
+    # and kept packets waiting while it decoded one that was replaced already.
+    Given a node that knows the store
+    When it is told of manifests 2, 3 and 4 at once
+    Then 1 entries were decoded
+    And manifest 4 is in force
+
+  Scenario: A reader tells the newest change of each key
+    Given a log of changes that begins at revision 10
+    When the key "a" changes in 11 and 13, and the key "b" in 12
+    Then the log tells after 10: b of 12, a of 13
+    And the log tells after 12: a of 13
+
   Scenario: A whole reading is learned as what it changes
     # The history was dropped while little changed. To decode a large manifest
     # again that is in force already would keep packets waiting.
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -1,5 +1,6 @@
 """Steps about the messages between nodes, without a network."""
 
+import json
 import statistics
 import zlib
 from random import Random
@@ -11,8 +12,9 @@
 from burdocksill.packets.knowledge import Knowledge
 from burdocksill.packets.learner import Learner
 from burdocksill.platform.protocols import SwapResult
-from burdocksill.platform.records import UPSTREAMS
+from burdocksill.platform.records import MANIFEST, UPSTREAMS
 from burdocksill.platform.values import Snapshot, StoredValue
+from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.claims import Claim
 from burdocksill.readers.datagrams import Ask, Update
 from burdocksill.readers.messages import Reader, ReaderEntry
@@ -343,13 +345,12 @@
     context.staying = world.add_upstream('a')
     context.node = world.add_node('a')
     context.world = world
+    count_decoded(context)
 
 
-@when('the store is read whole after one upstream came and one went')
-def read_again(context: Context) -> None:
-    """Read the store once more, with two changes, and count what is decoded."""
-    world, learner = context.world, context.node.core.learner
-    before = {key: world.revision for key in world.store}
+def count_decoded(context: Context) -> None:
+    """Keep the keys of what the node decodes from now on."""
+    learner = context.node.core.learner
     decode_entry = learner.decode
     context.decoded = []
 
@@ -358,6 +359,76 @@
         return decode_entry(stored)
 
     learner.decode = count
+
+
+@when('it is told of manifests {first:d}, {second:d} and {third:d} at once')
+def tell_versions(
+    context: Context,
+    first: int,
+    second: int,
+    third: int,
+) -> None:
+    """Hand over an answer with several versions."""
+    world = context.world
+    text = json.loads(world.store[MANIFEST])
+    found = Snapshot(
+        values=tuple(
+            StoredValue(
+                key=MANIFEST,
+                value=json.dumps({**text, 'Version': version}).encode(),
+                revision=world.revision + version,
+            )
+            for version in (first, second, third)
+        ),
+        revision=world.revision + third,
+    )
+    context.node.core.knowledge.take_changes(found, world.timeline.now)
+
+
+@then('manifest {version:d} is in force')
+def check_manifest(context: Context, version: int) -> None:
+    """Look at the version."""
+    assert context.node.core.learner.table.version == version
+
+
+@given('a log of changes that begins at revision {revision:d}')
+def make_log(context: Context, revision: int) -> None:
+    """Prepare an empty log."""
+    context.log = ChangeLog(start=revision, end=revision)
+
+
+@when(
+    'the key "{one}" changes in {first:d} and {last:d}, '
+    'and the key "{other}" in {between:d}',
+)
+def change_keys(
+    context: Context,
+    one: str,
+    first: int,
+    last: int,
+    other: str,
+    between: int,
+) -> None:
+    """Add three changes, one after the other."""
+    for key, revision in ((one, first), (other, between), (one, last)):
+        change = StoredValue(key=key, value=b'', revision=revision)
+        found = Snapshot(values=(change,), revision=revision)
+        context.log.add(revision - 1, found)
+
+
+@then('the log tells after {after:d}: {wanted}')
+def check_log(context: Context, after: int, wanted: str) -> None:
+    """Compare the keys and revisions of the changes after a revision."""
+    changes = context.log.since(after)
+    told = ', '.join(f'{one.key} of {one.revision}' for one in changes)
+    assert told == wanted, told
+
+
+@when('the store is read whole after one upstream came and one went')
+def read_again(context: Context) -> None:
+    """Read the store once more, with two changes."""
+    world = context.world
+    before = {key: world.revision for key in world.store}
     context.node.follows = False
     context.coming = world.add_upstream('a')
     world.deregister(context.going)
