Leave changes to the store that no node would unpack

Looked for the cause elsewhere: another way in which a large manifest never reaches a node. Changes that pack below 8 KB but are larger than 1 MB plain were sent, and each receiver refused to unpack them as a garbled datagram. It was never told that there is more to read from the store, and called it only when its knowledge was 2 s old.

The new scenario failed before: 2 MB of zeros were packed and sent.

--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -56,7 +56,7 @@
 
 
 def encode_changes(changes: tuple[StoredValue, ...]) -> bytes | None:
-    """Pack changes, None when they are too large for a datagram."""
+    """Pack changes, None when no node would take them as a datagram."""
     parts: list[bytes] = []
     for change in changes:
         key = change.key.encode()
@@ -67,7 +67,10 @@
             len(change.value),
         )
         parts.extend((head, key, change.value))
-    body = zlib.compress(b''.join(parts)) if parts else b''
+    plain = b''.join(parts)
+    if len(plain) > LARGEST_UNPACKED:
+        return None
+    body = zlib.compress(plain) if plain else b''
     return body if len(body) <= LARGEST_BODY else None
 
 
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -83,3 +83,10 @@
     When the store is read whole after one upstream came and one went
     Then 2 entries were decoded
     And the node knows the upstreams that stand
+
+  Scenario: Changes that pack well are not sent where nobody would unpack them
+    # A manifest whose routes are much alike packs into one datagram, and who
+    # gets it refuses to unpack so much: to them it is garbled, and they never
+    # hear that there is more to read from the store.
+    When changes of 2 MB that pack into a datagram are encoded
+    Then they are left to the store
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -336,6 +336,20 @@
     assert 0 < context.offers <= count, context.offers
 
 
+@when('changes of {megabytes:d} MB that pack into a datagram are encoded')
+def encode_alike(context: Context, megabytes: int) -> None:
+    """Pack a value of zeros."""
+    value = bytes(megabytes * 1_000_000)
+    change = StoredValue(key='op/config', value=value, revision=7)
+    context.packed = encode_changes((change,))
+
+
+@then('they are left to the store')
+def check_left(context: Context) -> None:
+    """Look for no datagram."""
+    assert context.packed is None, len(context.packed)
+
+
 @given('a node that knows the store')
 def make_knowing(context: Context) -> None:
     """Prepare a node that has read the store."""
