--- a/burdocksill_lab/commands/soak.py
+++ b/burdocksill_lab/commands/soak.py
@@ -3,13 +3,17 @@
 import json
 import sys
 from pathlib import Path
+from typing import Final
 
 import attrs
 import click
 
 from burdocksill_lab.soak.broken import GUARDS
+from burdocksill_lab.soak.day import SoakSize
 from burdocksill_lab.soak.run import SoakReport, SoakSettings, play
 
+KILOBYTE: Final = 1000
+
 
 @click.command()
 @click.option('--seed', default=1, show_default=True, help='Draws the plan.')
@@ -40,6 +44,20 @@
     type=click.Choice(['', *GUARDS]),
     help='Run nodes without one guard, as a control.',
 )
+@click.option(
+    '--routes',
+    default=0,
+    show_default=True,
+    type=click.IntRange(0, 20000),
+    help='Further routes of each manifest, which nobody uses.',
+)
+@click.option(
+    '--link',
+    default=0,
+    show_default=True,
+    type=click.IntRange(0),
+    help='KB a second from the store to each node; 0 for any amount.',
+)
 @click.option('--logs', type=click.Path(path_type=Path), help='Keep logs here.')
 @click.option('--json', 'as_json', is_flag=True, help='Write a JSON object.')
 def soak(
@@ -49,6 +67,8 @@
     processes: int,
     skip: int,
     without: str,
+    routes: int,
+    link: int,
     logs: Path | None,
     as_json: bool,
 ) -> None:
@@ -68,6 +88,10 @@
             skipped=skip,
             without=without,
             logs=logs,
+            size=SoakSize(
+                idle_routes=routes,
+                link_bytes_per_second=link * KILOBYTE,
+            ),
         ),
     )
     if as_json:
--- a/burdocksill_lab/packets/fleet.py
+++ b/burdocksill_lab/packets/fleet.py
@@ -24,7 +24,11 @@
     VirtualTimeline,
 )
 from burdocksill_lab.packets.store import LabStore
-from burdocksill_lab.packets.world import ROUTE_PORT, write_manifest
+from burdocksill_lab.packets.world import (
+    ROUTE_PORT,
+    idle_routes,
+    write_manifest,
+)
 
 STORE: Final = Address('10.200.0.1', 8169)
 PEER_PORT: Final = 7720
@@ -89,10 +93,15 @@
         """Count what nodes send each other."""
         self.peer_bytes += len(payload)
 
-    def put_version(self) -> int:
-        """Write the next manifest and return its version."""
+    def put_version(self, idle: int = 0) -> int:
+        """Write the next manifest, with routes that nobody uses."""
         self.version += 1
-        write_manifest(self.store.put, self.version, {ROUTE_PORT: 'ledger'})
+        write_manifest(
+            self.store.put,
+            self.version,
+            {ROUTE_PORT: 'ledger'},
+            idle=idle_routes(idle, 'ledger', self.rng),
+        )
         return self.version
 
     async def add_node(
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -2,7 +2,7 @@
 
 import json
 import zlib
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from random import Random
 from types import MappingProxyType
 from typing import Any, Final
@@ -32,6 +32,7 @@
 PORT: Final = 8172
 ROUTE_HOST: Final = '198.18.0.1'
 ROUTE_PORT: Final = 8443
+FIRST_IDLE_PORT: Final = 10000
 UPSTREAM_PORT: Final = 8080
 FIRST_CLIENT_PORT: Final = 1024
 
@@ -263,6 +264,7 @@
 
 
 Put = Callable[[str, bytes], None]
+Row = dict[str, Any]
 
 
 def write_entry(put: Put, upstream: LabUpstream, state: str) -> None:
@@ -273,12 +275,30 @@
     )
 
 
+def idle_routes(count: int, service: str, rng: Random) -> list[Row]:
+    """Return routes that nobody uses, with names that pack badly."""
+    return [
+        {
+            'Name': f'{rng.getrandbits(64):x}',
+            'Hostname': ROUTE_HOST,
+            'Prefix': f'/{FIRST_IDLE_PORT + number}/',
+            'Type': 'unsafe',
+            'TimeoutMs': 5516,
+            'SloMs': 551,
+            'Priority': 1,
+            'Service': service,
+        }
+        for number in range(count)
+    ]
+
+
 def write_manifest(
     put: Put,
     version: int,
     routes: dict[int, str],
     cold_per_second: float = 0,
     objectives: Mapping[int, Objective] = NO_OBJECTIVES,
+    idle: Sequence[Row] = (),
 ) -> None:
     """Write a manifest that sends ports to services into a store."""
     manifest = {
@@ -292,7 +312,8 @@
                 **objectives.get(port, Objective()).fields(),
             }
             for port, service in routes.items()
-        ],
+        ]
+        + list(idle),
         'Services': [
             {'Name': name, 'WarmupS': 2.0, 'ColdPerS': cold_per_second}
             for name in sorted(set(routes.values()))
--- a/burdocksill_lab/soak/day.py
+++ b/burdocksill_lab/soak/day.py
@@ -25,6 +25,7 @@
 from burdocksill_lab.packets.world import (
     ROUTE_HOST,
     ROUTE_PORT,
+    idle_routes,
     write_entry,
     write_manifest,
 )
@@ -61,6 +62,16 @@
     is_down: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class SoakSize:
+    """Hold how large manifests are, and how thin the links they come over."""
+
+    # Routes of each manifest that nobody uses.
+    idle_routes: int = 0
+    # What the store can send to each node; 0 for any amount.
+    link_bytes_per_second: float = 0
+
+
 @attrs.define(kw_only=True)
 class SoakDay:
     """Hold all of it, on real sockets and real time."""
@@ -71,6 +82,7 @@
     rng: Random
     judge: Judge
     command: tuple[str, ...]
+    size: SoakSize
     store: LabStore = attrs.field(factory=LabStore)
     nodes: list[SoakNode] = attrs.field(factory=list)
     upstreams: list[LabUpstream] = attrs.field(factory=list)
@@ -115,7 +127,10 @@
 
     async def add_node(self, number: int, store: Address) -> None:
         """Start a node behind a proxy of its own."""
-        proxy = StoreProxy(store=store)
+        proxy = StoreProxy(
+            store=store,
+            bytes_per_second=self.size.link_bytes_per_second,
+        )
         process = NodeProcess(
             host=f'127.11.0.{number + 1}',
             port=self.port,
@@ -175,7 +190,12 @@
             leads_to = routes.get(port, '')
             if ledger.route(port)[0] != leads_to:
                 ledger.routes[port] = (leads_to, now)
-        write_manifest(self.store.put, self.version, routes)
+        write_manifest(
+            self.store.put,
+            self.version,
+            routes,
+            idle=idle_routes(self.size.idle_routes, SERVICE, self.rng),
+        )
 
     def set_out(self, domain: str, *, out: bool) -> None:
         """Take a domain out, or back in."""
--- a/burdocksill_lab/soak/proxy.py
+++ b/burdocksill_lab/soak/proxy.py
@@ -29,6 +29,8 @@
 
     store: Address
     harm: Harm = Harm.NONE
+    # What the node's link carries of answers; 0 for any amount.
+    bytes_per_second: float = 0
     open: list[trio.SocketStream] = attrs.field(factory=list)
 
     async def serve(self, near: trio.SocketStream) -> None:
@@ -57,18 +59,28 @@
         answers = source.socket.getpeername() == self.store
         try:
             while chunk := await source.receive_some(READ_BYTES):
-                if self.harm is Harm.SILENT:
+                if self.swallows(answers=answers):
                     continue
-                if self.harm is Harm.ONE_WAY and answers:
-                    continue
-                if self.harm is Harm.DELAY:
-                    await trio.sleep(DELAY_SECONDS)
+                await trio.sleep(self.delay(len(chunk), answers=answers))
                 await target.send_all(chunk)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # One side was reset or killed; the other learns by the close.
             nursery.cancel_scope.cancel()
         nursery.cancel_scope.cancel()
 
+    def swallows(self, *, answers: bool) -> bool:
+        """Return True while bytes of a direction are lost."""
+        if self.harm is Harm.ONE_WAY:
+            return answers
+        return self.harm is Harm.SILENT
+
+    def delay(self, size: int, *, answers: bool) -> float:
+        """Return how long some bytes take to pass, in seconds."""
+        seconds = DELAY_SECONDS if self.harm is Harm.DELAY else 0
+        if answers and self.bytes_per_second:
+            seconds += size / self.bytes_per_second
+        return seconds
+
     async def set(self, harm: Harm) -> None:
         """Harm what passes from now on; a reset ends open connections too."""
         self.harm = harm
--- a/burdocksill_lab/soak/run.py
+++ b/burdocksill_lab/soak/run.py
@@ -11,7 +11,7 @@
 
 from burdocksill_lab.packets.world import ROUTE_PORT
 from burdocksill_lab.processes import free_port
-from burdocksill_lab.soak.day import DOMAINS, TOGGLED_PORT, SoakDay
+from burdocksill_lab.soak.day import DOMAINS, TOGGLED_PORT, SoakDay, SoakSize
 from burdocksill_lab.soak.judge import Judge, Violation
 from burdocksill_lab.soak.plan import ROUND_SECONDS, Trouble, draw_plan
 from burdocksill_lab.soak.processes import check_logs, check_processes
@@ -47,6 +47,7 @@
     without: str = ''
     # Where logs are kept; nowhere when it is None.
     logs: Path | None = None
+    size: SoakSize = SoakSize()
 
     @property
     def rounds(self) -> int:
@@ -103,6 +104,7 @@
             rng=Random(settings.seed),
             judge=judge,
             command=settings.command,
+            size=settings.size,
         )
         maker = Troublemaker(day=day)
         try:
--- a/tests/reading_story.py
+++ b/tests/reading_story.py
@@ -7,7 +7,7 @@
 import trio
 from behave.runner import Context
 
-from burdocksill.platform.records import MANIFEST, UPSTREAMS
+from burdocksill.platform.records import UPSTREAMS
 from burdocksill_lab.fakes.deterministic import run_seeded
 from burdocksill_lab.packets.fleet import FleetNode, SharedFleet, open_fleet
 
@@ -89,23 +89,3 @@
     }
     key = f'{UPSTREAMS}i-{number + 1:08x}'
     fleet.store.put(key, json.dumps(entry).encode())
-
-
-def grow_manifest(fleet: SharedFleet, routes: int) -> None:
-    """Write a manifest with many routes of odd names."""
-    fleet.put_version()
-    manifest = json.loads(fleet.store.items[MANIFEST].value)
-    first = manifest['Routes'][0]
-    manifest['Routes'] += [
-        {
-            'Type': 'unsafe',
-            'TimeoutMs': 5516,
-            'SloMs': 551,
-            'Priority': 1,
-            **first,
-            'Name': f'{fleet.rng.getrandbits(64):x}',
-            'Prefix': f'/{number + 10000}/',
-        }
-        for number in range(routes)
-    ]
-    fleet.store.put(MANIFEST, json.dumps(manifest).encode())
--- a/tests/steps/lab_soak.py
+++ b/tests/steps/lab_soak.py
@@ -7,6 +7,7 @@
 from burdocksill_lab.packets.client import ClientFlow, Outcome, Request
 from burdocksill_lab.packets.network import DatagramNetwork, VirtualTimeline
 from burdocksill_lab.packets.upstream import Condition, LabUpstream
+from burdocksill_lab.soak.day import SoakSize
 from burdocksill_lab.soak.judge import Judge
 from burdocksill_lab.soak.plan import draw_plan
 from burdocksill_lab.soak.run import SoakSettings, play
@@ -190,6 +191,25 @@
     context.report = play(settings)
 
 
+@when(
+    'a soak of seed {seed:d} runs for {minutes:f} minutes '
+    'with {nodes:d} nodes, {routes:d} routes and {link:d} KB a second',
+)
+def run_thin(
+    context: Context,
+    seed: int,
+    minutes: float,
+    nodes: int,
+    routes: int,
+    link: int,
+) -> None:
+    """Play a soak with large manifests over thin links."""
+    size = SoakSize(idle_routes=routes, link_bytes_per_second=link * 1000)
+    context.report = play(
+        SoakSettings(seed=seed, minutes=minutes, nodes=nodes, size=size),
+    )
+
+
 @when(
     'a soak of seed {seed:d} runs for {minutes:f} minutes '
     'with {nodes:d} nodes without "{guard}"',
--- a/tests/steps/readers_fleet.py
+++ b/tests/steps/readers_fleet.py
@@ -10,7 +10,6 @@
     Story,
     act,
     check,
-    grow_manifest,
     mark,
     put_upstream,
 )
@@ -74,7 +73,7 @@
     """Write a manifest with many routes of odd names."""
 
     async def step(fleet: SharedFleet) -> None:
-        grow_manifest(fleet, routes)
+        fleet.put_version(routes)
 
     act(context, step)
 
--- a/tests/steps/readers_thin_links.py
+++ b/tests/steps/readers_thin_links.py
@@ -5,7 +5,6 @@
 from reading_story import (
     act,
     check,
-    grow_manifest,
     put_upstream,
 )
 
@@ -77,10 +76,10 @@
     """Write versions of a large manifest in a row."""
 
     async def step(fleet: SharedFleet) -> None:
-        grow_manifest(fleet, routes)
+        fleet.put_version(routes)
         for _ in range(times - 1):
             await fleet.run(seconds)
-            grow_manifest(fleet, routes)
+            fleet.put_version(routes)
 
     act(context, step)
 
