Keep a reader's log from passing for complete after it dropped a change

The log of changes drops its oldest above 1,024 and notes the revision of the one it dropped. Changes of a whole reading come in the order of keys, so that a later drop could move that revision back: who knew revision 25 was told that nothing came after it, though the change of 30 was dropped.

The new scenario failed before with an empty answer in place of none.

--- a/burdocksill/readers/changes.py
+++ b/burdocksill/readers/changes.py
@@ -32,7 +32,8 @@
         self.end = max(self.end, found.revision)
         while len(self.changes) > CHANGES_KEPT:
             _, dropped = self.changes.popitem(last=False)
-            self.start = dropped.revision
+            # A whole reading is not in the order of revisions.
+            self.start = max(self.start, dropped.revision)
 
     def since(self, revision: int) -> tuple[StoredValue, ...] | None:
         """Return the changes after a revision, None if some are missing."""
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -76,6 +76,13 @@
     Then the log tells after 10: b of 12, a of 13
     And the log tells after 12: a of 13
 
+  Scenario: A log that has dropped a change does not pass for complete
+    # A whole reading is in the order of keys. The log dropped its first change
+    # of revision 30, then one of 20, and told who knew 25 that there was none.
+    Given a log of changes that begins at revision 10 and keeps 1
+    When a whole reading shows "a" of 30, "b" of 20 and "c" of 15
+    Then the log can't tell what came after 25
+
   Scenario: A whole reading is learned as what it changes
     # The history was dropped while little changed. To decode a large manifest
     # again that is in force already would keep packets waiting.
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -4,6 +4,7 @@
 import statistics
 import zlib
 from random import Random
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
@@ -14,6 +15,7 @@
 from burdocksill.platform.protocols import SwapResult
 from burdocksill.platform.records import MANIFEST, UPSTREAMS
 from burdocksill.platform.values import Snapshot, StoredValue
+from burdocksill.readers import changes
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.claims import Claim
 from burdocksill.readers.datagrams import Ask, Update
@@ -430,11 +432,50 @@
         context.log.add(revision - 1, found)
 
 
+@given(
+    'a log of changes that begins at revision {revision:d} and keeps {kept:d}',
+)
+def make_short_log(context: Context, revision: int, kept: int) -> None:
+    """Prepare a log that holds few changes."""
+    make_log(context, revision)
+    context.kept = kept
+
+
+@when(
+    'a whole reading shows "{one}" of {first:d}, "{two}" of {second:d} '
+    'and "{three}" of {third:d}',
+)
+def show_whole(
+    context: Context,
+    one: str,
+    first: int,
+    two: str,
+    second: int,
+    three: str,
+    third: int,
+) -> None:
+    """Add changes that are not in the order of their revisions."""
+    shown = ((one, first), (two, second), (three, third))
+    values = tuple(
+        StoredValue(key=key, value=b'', revision=revision)
+        for key, revision in shown
+    )
+    found = Snapshot(values=values, revision=max(first, second, third))
+    with mock.patch.object(changes, 'CHANGES_KEPT', context.kept):
+        context.log.add(context.log.end, found)
+
+
+@then("the log can't tell what came after {after:d}")
+def check_incomplete(context: Context, after: int) -> None:
+    """Ask for what the log has dropped in part."""
+    assert context.log.since(after) is None, context.log.since(after)
+
+
 @then('the log tells after {after:d}: {wanted}')
 def check_log(context: Context, after: int, wanted: str) -> None:
     """Compare the keys and revisions of the changes after a revision."""
-    changes = context.log.since(after)
-    told = ', '.join(f'{one.key} of {one.revision}' for one in changes)
+    found = context.log.since(after)
+    told = ', '.join(f'{one.key} of {one.revision}' for one in found)
     assert told == wanted, told
 
 
