Start what the pages' fleet needs side by side

Cause: `burdocksill-lab up` started eight programs one after the other, each of which imports for a second or two on a busy machine: the platform, three upstreams, two commands, the entry VMs. The test's 20 s were the sum of these, not a fault of one of them.

No program failed and none waited for another beyond its start.

Change: upstreams start with the platform, both commands run at once, the fabric starts with the entry VMs. The limit of 20 s stays.

--- a/burdocksill_lab/loopback.py
+++ b/burdocksill_lab/loopback.py
@@ -5,6 +5,7 @@
 
 import attrs
 import msgspec
+import trio
 
 from burdocksill.network.protocols import Address
 from burdocksill.platform import keys
@@ -74,21 +75,41 @@
         }
 
     async def start(self) -> None:
-        """Start everything and wait until callers are served."""
+        """Start everything and wait until callers are served.
+
+        What needs nothing from the rest starts side by side: on a busy machine
+        each program takes seconds to start.
+        """
         self.group.start(
             'platform',
             ['burdocksill-lab', 'platform', f'--listen={self.platform}'],
         )
+        upstreams = self.start_upstreams()
         await wait_for_port(self.platform)
         await self.list_entries()
-        await self.start_upstreams()
+        await self.prepare_store()
+        self.start_entries()
+        self.start_fabric()
+        for address in upstreams:
+            await wait_for_port(address)
+        for name in self.entries:
+            await wait_for_line(self.group, name, 'serving')
+        self.write_environment()
+
+    async def prepare_store(self) -> None:
+        """Write the fleet's keys and the service's document."""
         command = ['burdocksill', f'--platform={self.platform_url}']
-        run_program([*command, 'keys', 'rotate'])
         document = str(self.folder / DOCUMENT_FILE)
-        run_program([*command, 'document', 'put', document])
-        await self.start_entries()
-        await self.start_fabric()
-        self.write_environment()
+        async with trio.open_nursery() as nursery:
+            for words in (
+                ['keys', 'rotate'],
+                ['document', 'put', document],
+            ):
+                nursery.start_soon(
+                    trio.to_thread.run_sync,
+                    run_program,
+                    [*command, *words],
+                )
 
     async def list_entries(self) -> None:
         """Write the platform's list of VMs, as the platform itself does."""
@@ -111,12 +132,14 @@
                 expected_revision=0,
             )
 
-    async def start_upstreams(self) -> None:
+    def start_upstreams(self) -> list[Address]:
         """Start one upstream in each domain and write the document."""
         text = HEAD
+        addresses: list[Address] = []
         for index, domain in enumerate(DOMAINS, start=1):
             name = f'ledger-{index}'
             address = free_address(f'{HOST_PREFIX}.{index}.2')
+            addresses.append(address)
             self.group.start(
                 name,
                 [
@@ -127,7 +150,6 @@
                     f'--name={name}',
                 ],
             )
-            await wait_for_port(address)
             text += UPSTREAM.format(
                 name=name,
                 domain=domain,
@@ -135,8 +157,9 @@
                 port=address.port,
             )
         (self.folder / DOCUMENT_FILE).write_text(text)
+        return addresses
 
-    async def start_entries(self) -> None:
+    def start_entries(self) -> None:
         """Start one entry VM in each domain."""
         for name, record in self.entries.items():
             self.group.start(
@@ -151,10 +174,8 @@
                     f'--platform={self.platform_url}',
                 ],
             )
-        for name in self.entries:
-            await wait_for_line(self.group, name, 'serving')
 
-    async def start_fabric(self) -> None:
+    def start_fabric(self) -> None:
         """Start the fabric; it has no port that could be tried."""
         callers = [
             f'--entry={record.host}:{record.caller_port}'
--- a/tests/steps/docs_examples.py
+++ b/tests/steps/docs_examples.py
@@ -9,6 +9,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 from typing import NamedTuple
+from unittest import mock
 
 import trio
 from behave import given, then, when
@@ -63,6 +64,19 @@
     return bool(re.fullmatch(pattern, ''.join(f'{ln}\n' for ln in printed)))
 
 
+@given('each program takes {seconds:d} s longer to start')
+def slow_starts(context: Context, seconds: int) -> None:
+    """Let each Python program that starts from here on sleep first."""
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    folder = stack.enter_context(tempfile.TemporaryDirectory())
+    (Path(folder) / 'sitecustomize.py').write_text(
+        f'import time\n\ntime.sleep({seconds})\n',
+    )
+    slowed = {**os.environ, 'PYTHONPATH': folder}
+    stack.enter_context(mock.patch.dict(os.environ, slowed))
+
+
 @given('a fleet that burdocksill-lab started for the pages')
 def start_fleet(context: Context) -> None:
     """Start the fleet that the pages tell readers to start."""
