Leave a failure domain whose upstreams died, by what its nodes see together

Ruled out: telling second tries from first ones. They come through other nodes within 3 ms, so that no node could know in time.

Change: an opening that nothing follows within six usual round trips (20 ms at least) counts as missed. Nodes tell their domain's reader, which tells the others, over the datagrams that exist. From three missed upstreams by two witnesses on a domain is doubted: new flows prefer upstreams that have answered since, in any domain, one of 16 is a trial. Signs lapse after 1 s, end no flow, and one node's word alone changes nothing.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -78,6 +78,7 @@
                 payload = self.datagrams.recv(LARGEST_PACKET + 1)
             except BlockingIOError:
                 self.behind_since = 0
+                self.forwarder.overlook(now)
                 return
             except ConnectionError:
                 # An upstream's host refused an earlier datagram; that says
@@ -87,6 +88,10 @@
             self.handle(payload, now)
         self.behind_since = self.behind_since or now
 
+    def quiet_for(self, now: float) -> float:
+        """Return the seconds until an opening is missed unless packets come."""
+        return max(0, self.forwarder.openings.next_due() - now)
+
     def is_behind(self, now: float) -> bool:
         """Return True when packets wait here for long.
 
--- a/burdocksill/packets/following.py
+++ b/burdocksill/packets/following.py
@@ -22,6 +22,7 @@
 from burdocksill.readers.exchange import Candidate, PeerExchange, SharedTurn
 from burdocksill.readers.messages import Reader
 from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.signs import SignExchange
 from burdocksill.readers.subscription import Subscription
 
 
@@ -78,6 +79,7 @@
             if self.sharing is not None:
                 nursery.start_soon(self.sharing.exchange.receive)
                 nursery.start_soon(self.sharing.exchange.ask)
+                nursery.start_soon(self.sharing.exchange.tell_signs)
                 nursery.start_soon(self.sharing.candidate.run)
 
     async def leave(self) -> None:
@@ -170,13 +172,24 @@
         clock=around.clock,
         rng=around.rng,
     )
-    return Sharing(
-        exchange=PeerExchange(
-            socket=socket,
-            subscription=subscription,
+    exchange = PeerExchange(
+        socket=socket,
+        subscription=subscription,
+        publisher=publisher,
+        turn=SharedTurn(subscription=subscription),
+        signs=SignExchange(
+            itself=itself,
+            domain=settings.domain,
+            directory=directory,
+            known=directory.placer.outages,
             publisher=publisher,
-            turn=SharedTurn(subscription=subscription),
+            clock=around.clock,
+            send=socket.send,
         ),
+    )
+    directory.placer.outages.on_news = exchange.has_news
+    return Sharing(
+        exchange=exchange,
         candidate=Candidate(
             claim=claim,
             key=READERS + settings.domain,
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -18,6 +18,7 @@
     reset_of,
     with_echo,
 )
+from burdocksill.packets.openings import Openings
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.upstreams import (
@@ -57,6 +58,7 @@
         'freshness',
         'latest',
         'log',
+        'openings',
         'placer',
         'refused_for_load',
         'table',
@@ -89,6 +91,7 @@
         self.refused_for_load: Counter[int] = Counter()
         # The latest opening of each client towards each route.
         self.latest: dict[tuple[int, int, int], FlowKey] = {}
+        self.openings: Openings = Openings()
         # Echoes of no known upstream, with the time when they were first seen.
         self.unknown: dict[int, float] = {}
 
@@ -124,7 +127,8 @@
             return self.refuse_for_load(packet, route)
         if isinstance(chosen, Reason):
             return self.without_candidate(packet, now)
-        self.flows.start(packet.flow, chosen, now)
+        flow = self.flows.start(packet.flow, chosen, now)
+        self.openings.begin(packet.flow, flow, now)
         self.log.decided(packet.flow, reason, chosen, packet.ack)
         return self.forward(with_echo(payload, chosen.echo), chosen, reason)
 
@@ -154,6 +158,22 @@
             upstream.health.missed(now, seen.seen_at)
         return frozenset((upstream.record.name,))
 
+    def overlook(self, now: float) -> None:
+        """Draw conclusions from openings that nothing has followed.
+
+        To be called when no packet waits: the one that follows may be there.
+        """
+        for opening in self.openings.missed(now):
+            flow = opening.flow
+            if self.flows.find(opening.key) is not flow or self.flows.behind:
+                continue
+            upstream = flow.upstream
+            if upstream.health.heard_at > flow.seen_at:
+                continue
+            upstream.health.missed(now, flow.seen_at)
+            self.placer.outages.missed(upstream, now)
+            self.log.decided(opening.key, Reason.OPENING_MISSED, upstream)
+
     def without_route(self, packet: Packet) -> Verdict:
         """End or drop an opening for an address that has no route."""
         if not self.table.version:
@@ -201,7 +221,11 @@
         flow = self.flows.find(packet.flow)
         if flow is None or flow.upstream is not upstream:
             flow = self.flows.join(packet, upstream, now)
+        if not flow.open:
+            self.openings.answered(flow, now)
         self.flows.follow(packet, flow, now)
+        if upstream.health.heard_at == now:
+            self.placer.outages.answered(upstream, now)
         lost = self.lost(upstream, now)
         if lost is not None:
             self.reset_others(packet.flow, upstream, lost)
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -90,7 +90,8 @@
     async def forward_packets(self) -> None:
         """Handle what the routers send, in batches."""
         while True:
-            await trio.lowlevel.wait_readable(self.core.datagrams)
+            with trio.move_on_after(self.core.quiet_for(self.clock())):
+                await trio.lowlevel.wait_readable(self.core.datagrams)
             self.core.drain(self.clock())
 
     async def upkeep(self) -> None:
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from burdocksill.packets.messages import Route, Share
+from burdocksill.packets.outages import Outages
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.upstreams import KnownUpstream, Presence, Upstreams
 from burdocksill.packets.verdicts import Reason
@@ -34,8 +35,14 @@
 ASSUMED_NODES: Final = 16
 # Ranks of candidates: a lower one is taken whenever there is any.
 WELL: Final = 0
-ASIDE: Final = 1
-LAPSED: Final = 2
+# Its domain has lost many upstreams, and it has not answered since.
+DOUBTED: Final = 1
+ASIDE: Final = 2
+LAPSED: Final = 3
+RANKS: Final = 4
+# The part of the new flows that a doubted domain gets as a trial: what is back
+# is found by one of them, and the rest reach an upstream that answers.
+TRIAL_SHARE: Final = 1 / 16
 NOTHING_AVOIDED: Final[frozenset[str]] = frozenset()
 
 
@@ -72,6 +79,7 @@
         'domain',
         'nodes',
         'out',
+        'outages',
         'rng',
         'table',
         'upstreams',
@@ -86,6 +94,7 @@
         rng: Random,
         budget: ColdBudget | None = None,
         nodes: int = ASSUMED_NODES,
+        outages: Outages | None = None,
     ) -> None:
         """Take all fields."""
         self.domain = domain
@@ -97,6 +106,7 @@
         self.budget: ColdBudget = ColdBudget() if budget is None else budget
         # How many nodes may send to the same cold upstream.
         self.nodes = nodes
+        self.outages: Outages = outages or Outages(upstreams)
 
     def place(
         self,
@@ -147,7 +157,8 @@
         Mostly the own failure domain has one that is well, and then nobody
         looks at the others, of which a large fleet has many.
         """
-        near = self.place_near(service, urgency, now, avoid)
+        worst = DOUBTED if self.tries_doubted(now) else WELL
+        near = self.place_near(service, urgency, now, avoid, worst)
         if near is not None:
             return near
         for candidates in self.ranked(service, now, avoid):
@@ -156,6 +167,13 @@
                 return chosen
         return Reason.NO_UPSTREAM
 
+    def tries_doubted(self, now: float) -> bool:
+        """Return True for the few new flows that test a doubted domain."""
+        return (
+            self.outages.is_doubted(self.domain, now)
+            and self.rng.random() < TRIAL_SHARE
+        )
+
     def ranked(
         self,
         service: str,
@@ -163,7 +181,7 @@
         avoid: Container[str],
     ) -> tuple[list[KnownUpstream], ...]:
         """Return the upstreams of all domains, by what speaks against them."""
-        ranks: tuple[list[KnownUpstream], ...] = ([], [], [])
+        ranks: tuple[list[KnownUpstream], ...] = tuple([] for _ in range(RANKS))
         for known in self.upstreams.of_service(service, now):
             if known.record.domain not in self.out:
                 ranks[self.rank(known, now, avoid)].append(known)
@@ -194,6 +212,7 @@
         urgency: int,
         now: float,
         avoid: Container[str],
+        worst: int = WELL,
     ) -> KnownUpstream | None:
         """Return a warm upstream of the own domain that does not queue."""
         if self.domain in self.out:
@@ -202,7 +221,7 @@
             known
             for known in self.upstreams.of_domain(service, self.domain, now)
             if not known.is_cold(now)
-            and self.rank(known, now, avoid) == WELL
+            and self.rank(known, now, avoid) <= worst
             and not queues(known)
             and known.admits(urgency)
         ]
@@ -222,7 +241,7 @@
             return LAPSED
         if known.record.name in avoid or known.health.is_aside(now):
             return ASIDE
-        return WELL
+        return DOUBTED if self.outages.doubts(known, now) else WELL
 
     def by_preference(
         self,
--- a/burdocksill/readers/datagrams.py
+++ b/burdocksill/readers/datagrams.py
@@ -1,8 +1,9 @@
-"""What nodes say to each other about the store's content."""
+"""What nodes say to each other about the store and about upstreams."""
 
 import attrs
 
 from burdocksill.platform.values import StoredValue
+from burdocksill.readers.messages import Sign
 
 
 @attrs.frozen(kw_only=True)
@@ -29,3 +30,10 @@
     stable: float
     # None: they are too many for a datagram, or too old to be kept.
     changes: tuple[StoredValue, ...] | None = ()
+
+
+@attrs.frozen(kw_only=True)
+class Signs:
+    """Tell which upstreams answered or missed an opening, and who saw it."""
+
+    signs: tuple[Sign, ...]
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -7,12 +7,14 @@
 import trio
 
 from burdocksill.exceptions import BurdocksillError
+from burdocksill.network.addresses import Address
 from burdocksill.network.protocols import DatagramSocket
 from burdocksill.observe.lines import StateLine
 from burdocksill.readers.claims import KEEP_SECONDS, LEASE_SECONDS, Claim
-from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.datagrams import Ask, Signs, Update
 from burdocksill.readers.protocols import LeaseStore
 from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.signs import GATHER_SECONDS, SignExchange
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import decode, encode_ask
 
@@ -54,24 +56,48 @@
     subscription: Subscription
     publisher: Publisher
     turn: SharedTurn
+    signs: SignExchange
+    # Set while there is something to tell of upstreams.
+    news: trio.Event = attrs.field(factory=trio.Event)
     line: StateLine = attrs.field(factory=lambda: StateLine(logger=logger))
 
     async def receive(self) -> None:
         """Handle what other nodes send."""
         while True:
             for datagram in await self.socket.receive():
-                message = decode(datagram.payload)
-                if isinstance(message, Ask):
-                    self.publisher.answer(message, datagram.peer)
-                elif isinstance(message, Update):
-                    self.subscription.take(message, datagram.peer)
-                    if self.subscription.must_read:
-                        self.turn.wake()
-                else:
+                message = decode(datagram.payload, self.signs.clock())
+                if message is None:
                     logger.warning(
                         'datagram unreadable',
                         extra={'peer': str(datagram.peer)},
                     )
+                else:
+                    self.take(message, datagram.peer)
+
+    def take(self, message: Ask | Update | Signs, sender: Address) -> None:
+        """Handle a message of another node."""
+        if isinstance(message, Ask):
+            self.publisher.answer(message, sender)
+        elif isinstance(message, Signs):
+            self.signs.take(message.signs, sender)
+            if self.signs.waiting:
+                self.news.set()
+        else:
+            self.subscription.take(message, sender)
+            if self.subscription.must_read:
+                self.turn.wake()
+
+    async def tell_signs(self) -> None:
+        """Tell what openings on upstreams met, as soon as there is any."""
+        while True:
+            await self.news.wait()
+            self.news = trio.Event()
+            self.signs.tell()
+            await trio.sleep(GATHER_SECONDS)
+
+    def has_news(self) -> None:
+        """Let what openings met be told."""
+        self.news.set()
 
     async def ask(self) -> None:
         """Ask readers in time."""
--- a/burdocksill/readers/messages.py
+++ b/burdocksill/readers/messages.py
@@ -1,4 +1,4 @@
-"""Which node reads the store for a failure domain."""
+"""What nodes tell each other besides the content of the store."""
 
 from __future__ import annotations
 
@@ -41,3 +41,36 @@
         self.domain = domain
         self.reader = reader
         self.revision = revision
+
+
+class Sign(Value):
+    """Tell whether an upstream answered, and who saw that when.
+
+    `at` is the steady time of the node that holds the sign.
+    """
+
+    __slots__ = ('answered', 'at', 'echo', 'witness')
+
+    def __init__(
+        self,
+        *,
+        echo: int,
+        answered: bool,
+        at: float,
+        witness: int,
+    ) -> None:
+        """Take all fields."""
+        self.echo = echo
+        self.answered = answered
+        self.at = at
+        # Tells the nodes that saw something apart; 0 for this node itself.
+        self.witness = witness
+
+    def seen_by(self, witness: int) -> Sign:
+        """Return the same sign under another witness."""
+        return Sign(
+            echo=self.echo,
+            answered=self.answered,
+            at=self.at,
+            witness=witness,
+        )
--- a/burdocksill/readers/protocols.py
+++ b/burdocksill/readers/protocols.py
@@ -5,7 +5,7 @@
 from burdocksill.network.addresses import Address
 from burdocksill.platform.protocols import SwapResult
 from burdocksill.platform.values import Snapshot
-from burdocksill.readers.messages import ReaderEntry
+from burdocksill.readers.messages import ReaderEntry, Sign
 
 
 class Knowledge(Protocol):
@@ -40,6 +40,16 @@
         """Return the entries by failure domain."""
 
 
+class Signs(Protocol):
+    """Hold what openings on upstreams met."""
+
+    def take_own(self) -> list[Sign]:
+        """Return the own signs that nobody was told of yet."""
+
+    def learn(self, sign: Sign, now: float) -> bool:
+        """Take in what another node saw; return False for no news."""
+
+
 class LeaseStore(Protocol):
     """Register a key that goes away when its writer does."""
 
--- /dev/null
+++ b/burdocksill/readers/signs.py
@@ -0,0 +1,118 @@
+"""Pass on what openings on upstreams met, through the domain's reader.
+
+Answers the load of upstreams that die together in a domain of many nodes: each
+node sees a few openings a second, all of them together see enough.
+"""
+
+import zlib
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+import attrs
+
+from burdocksill.network.addresses import Address
+from burdocksill.network.clock import Clock
+from burdocksill.readers.messages import Reader, Sign
+from burdocksill.readers.protocols import Directory, Sender, Signs
+from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.wire import MOST_SIGNS, encode_signs
+
+# Signs that come together share a datagram.
+GATHER_SECONDS: Final = 0.04
+# No node is told more at once, however many signs there are: what is left out
+# is seen again, or its flows are placed as without any signs.
+MOST_WAITING: Final = 2 * MOST_SIGNS
+# A witness is named by 16 bits, none of which stand for the receiver itself.
+MOST_WITNESSES: Final = (1 << 16) - 1
+
+
+def witness_of(address: Address) -> int:
+    """Return the number that tells a node's signs from those of others."""
+    return zlib.crc32(str(address).encode()) % MOST_WITNESSES + 1
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class SignExchange:
+    """Tell the domain's reader what this node saw, or all that it told."""
+
+    itself: Reader
+    domain: str
+    directory: Directory
+    known: Signs
+    publisher: Publisher
+    clock: Clock
+    send: Sender
+    # What the reader has heard and not passed on yet.
+    waiting: list[Sign] = attrs.field(factory=list)
+    sent: int = 0
+    received: int = 0
+
+    @property
+    def reader(self) -> Reader | None:
+        """Return who reads for the own failure domain."""
+        entry = self.directory.readers.get(self.domain)
+        return None if entry is None else entry.reader
+
+    @property
+    def reads(self) -> bool:
+        """Return True when this node is the one that passes signs on."""
+        return self.reader is not None and self.reader.name == self.itself.name
+
+    def take(self, signs: Sequence[Sign], sender: Address) -> None:
+        """Learn from the domain's reader, or as the reader from its nodes."""
+        self.received += len(signs)
+        now = self.clock()
+        if self.reads:
+            if sender in self.publisher.subscribers:
+                self.take_reports(signs, witness_of(sender), now)
+        elif self.reader is not None and sender == self.reader.address:
+            for sign in signs:
+                self.known.learn(sign, now)
+
+    def take_reports(
+        self,
+        signs: Sequence[Sign],
+        witness: int,
+        now: float,
+    ) -> None:
+        """Learn what one node saw, and keep what is news for the others."""
+        for sign in signs:
+            report = sign.seen_by(witness)
+            if self.known.learn(report, now):
+                self.waiting.append(report)
+
+    def tell(self) -> None:
+        """Send all that is news to whom it is for."""
+        own = self.known.take_own()
+        if self.reads:
+            witness = witness_of(self.itself.address)
+            self.waiting.extend(sign.seen_by(witness) for sign in own)
+            self.tell_nodes()
+        elif own and self.reader is not None:
+            self.send_signs(own, self.reader.address)
+
+    def tell_nodes(self) -> None:
+        """Pass signs on to the nodes that follow, but to who saw them."""
+        signs = self.waiting[-MOST_WAITING:]
+        self.waiting = []
+        witnesses = {sign.witness for sign in signs}
+        for address in self.publisher.subscribers:
+            seen_there = witness_of(address)
+            if seen_there in witnesses:
+                others = [sign for sign in signs if sign.witness != seen_there]
+                self.send_signs(others, address)
+            else:
+                self.send_signs(signs, address)
+
+    def send_signs(self, signs: list[Sign], address: Address) -> None:
+        """Send signs in as many datagrams as they need."""
+        now = self.clock()
+        self.sent += len(signs)
+        for part in parts_of(signs[-MOST_WAITING:]):
+            self.send(encode_signs(part, now), address)
+
+
+def parts_of(signs: list[Sign]) -> Iterator[list[Sign]]:
+    """Return as many signs at a time as a datagram carries."""
+    for start in range(0, len(signs), MOST_SIGNS):
+        yield signs[start : start + MOST_SIGNS]
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -2,21 +2,30 @@
 
 import struct
 import zlib
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
 
 from burdocksill.platform.values import StoredValue
-from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.datagrams import Ask, Signs, Update
+from burdocksill.readers.messages import Sign
 
 ASK_KIND: Final = 1
 UPDATE_KIND: Final = 2
+SIGNS_KIND: Final = 3
 # Kind, token, revision.
 ASK: Final = struct.Struct('>BQQ')
 # Kind, token, after, revision, age, stable, whether changes follow.
 UPDATE: Final = struct.Struct('>BQQQff?')
 # Revision, whether the key was removed, length of key and value.
 CHANGE: Final = struct.Struct('>Q?HI')
+# Echo, witness, age in milliseconds, whether it answered.
+SIGN: Final = struct.Struct('>IHH?')
+# What one datagram carries without being split on its way.
+MOST_SIGNS: Final = 128
+MILLISECONDS: Final = 1000
+OLDEST_SIGN_MS: Final = (1 << 16) - 1
 # The largest packed changes of an update. What is larger, each node reads from
 # the store by one call of its own. Networks carry such a datagram in parts, and
 # a lost one is asked for again.
@@ -43,7 +52,7 @@
     return ASK.pack(ASK_KIND, ask.token, ask.revision)
 
 
-def decode(payload: bytes) -> Ask | Update | None:
+def decode(payload: bytes, now: float = 0) -> Ask | Update | Signs | None:
     """Read a datagram, None for anything that no node would send."""
     kind = payload[0] if payload else 0
     if kind == ASK_KIND and len(payload) == ASK.size:
@@ -52,9 +61,41 @@
         )
     if kind == UPDATE_KIND and len(payload) >= UPDATE.size:
         return decode_update(payload)
+    if kind == SIGNS_KIND:
+        return decode_signs(payload[1:], now)
     return None
 
 
+def encode_signs(signs: Iterable[Sign], now: float) -> bytes:
+    """Write signs with their ages; clocks of two nodes differ."""
+    parts = [bytes((SIGNS_KIND,))]
+    for sign in signs:
+        age = round((now - sign.at) * MILLISECONDS)
+        bounded = min(max(age, 0), OLDEST_SIGN_MS)
+        parts.append(
+            SIGN.pack(sign.echo, sign.witness, bounded, sign.answered),
+        )
+    return b''.join(parts)
+
+
+def decode_signs(body: bytes, now: float) -> Signs | None:
+    """Read signs by this node's clock, None for anything else."""
+    count, rest = divmod(len(body), SIGN.size)
+    if rest or not 0 < count <= MOST_SIGNS:
+        return None
+    return Signs(
+        signs=tuple(
+            Sign(
+                echo=echo,
+                witness=witness,
+                at=now - age / MILLISECONDS,
+                answered=answered,
+            )
+            for echo, witness, age, answered in SIGN.iter_unpack(body)
+        ),
+    )
+
+
 def encode_changes(changes: tuple[StoredValue, ...]) -> bytes | None:
     """Pack changes, None when no node would take them as a datagram."""
     parts: list[bytes] = []
--- a/burdocksill_lab/packets/load.py
+++ b/burdocksill_lab/packets/load.py
@@ -51,6 +51,8 @@
     deadline_seconds: float = 4.0
     # Flows that are kept for later calls; 0: each call opens one of its own.
     most_idle: int = 10
+    # Before the second try.
+    pause_seconds: float = FIRST_PAUSE_SECONDS
     idle: list[ClientFlow] = attrs.field(factory=list)
     calls: list[Call] = attrs.field(factory=list)
     started_at: float = 0
@@ -119,7 +121,7 @@
         if request.outcome is Outcome.LATE or call.tries == MOST_TRIES:
             call.over = True
             return
-        pause = FIRST_PAUSE_SECONDS * 2 ** (call.tries - 1)
+        pause = self.pause_seconds * 2 ** (call.tries - 1)
         self.world.timeline.after(
             pause * (1 + self.world.rng.random()),
             lambda: self.attempt(call),
--- /dev/null
+++ b/burdocksill_lab/packets/sharing.py
@@ -0,0 +1,117 @@
+"""Nodes of a packet world that tell each other what openings met."""
+
+from typing import Final
+
+import attrs
+
+from burdocksill.network.addresses import Address
+from burdocksill.platform.keys import READERS
+from burdocksill.platform.records import write_reader
+from burdocksill.readers.changes import ChangeLog
+from burdocksill.readers.datagrams import Signs
+from burdocksill.readers.messages import Reader, Sign
+from burdocksill.readers.publisher import Publisher, Subscriber
+from burdocksill.readers.signs import GATHER_SECONDS, SignExchange
+from burdocksill.readers.wire import decode
+from burdocksill_lab.packets.network import Address as Place
+from burdocksill_lab.packets.world import LabNode, PacketWorld
+
+PEER_PORT: Final = 7720
+FOREVER: Final = float('inf')
+
+
+@attrs.define(kw_only=True)
+class SignPeer:
+    """Run the product's exchange of signs on one node."""
+
+    node: LabNode
+    world: PacketWorld
+    exchange: SignExchange
+    told_at: float = 0
+    due: bool = False
+    sent_bytes: int = 0
+
+    def has_news(self) -> None:
+        """Tell it soon, together with what else comes."""
+        if self.due:
+            return
+        self.due = True
+        now = self.world.timeline.now
+        wait = max(0, self.told_at + GATHER_SECONDS - now)
+        self.world.timeline.after(wait, self.tell)
+
+    def tell(self) -> None:
+        """Send what is news."""
+        self.due = False
+        self.told_at = self.world.timeline.now
+        if self.node.alive:
+            self.exchange.tell()
+
+    def receive(self, payload: bytes, source: Place) -> None:
+        """Take what another node tells."""
+        message = decode(payload, self.world.timeline.now)
+        if isinstance(message, Signs) and self.node.alive:
+            self.exchange.take(message.signs, Address(*source))
+            if self.exchange.waiting:
+                self.has_news()
+
+    def send(self, payload: bytes, peer: Address) -> bool:
+        """Send a datagram to another node."""
+        source = (self.exchange.itself.address.host, PEER_PORT)
+        self.sent_bytes += len(payload)
+        self.world.network.send(payload, source, (peer.host, peer.port))
+        return True
+
+    def claim(self, signs: list[Sign]) -> None:
+        """Tell what was never seen, as a node that lies does."""
+        reader = self.exchange.reader
+        assert reader is not None
+        self.exchange.send_signs(signs, reader.address)
+
+
+def share_signs(world: PacketWorld) -> list[SignPeer]:
+    """Let all nodes share; the first of a domain reads for it."""
+    peers = [make_peer(world, node) for node in world.nodes]
+    readers: dict[str, SignPeer] = {}
+    for peer in peers:
+        domain = peer.node.domain
+        if domain not in readers:
+            readers[domain] = peer
+            value = write_reader(peer.exchange.itself)
+            world.put(READERS + domain, value)
+            continue
+        address = peer.exchange.itself.address
+        readers[domain].exchange.publisher.subscribers[address] = Subscriber(
+            token=1,
+            revision=1,
+            until=FOREVER,
+        )
+    return peers
+
+
+def make_peer(world: PacketWorld, node: LabNode) -> SignPeer:
+    """Connect a node with the others."""
+    address = Address(node.address[0], PEER_PORT)
+    core = node.core
+
+    def send(payload: bytes, peer: Address) -> bool:
+        return sender.send(payload, peer)
+
+    exchange = SignExchange(
+        itself=Reader(name=node.name, address=address),
+        domain=node.domain,
+        directory=core.learner,
+        known=core.learner.placer.outages,
+        publisher=Publisher(
+            knowledge=core.knowledge,
+            log=ChangeLog(),
+            clock=world.time,
+            send=send,
+        ),
+        clock=world.time,
+        send=send,
+    )
+    sender = SignPeer(node=node, world=world, exchange=exchange)
+    core.learner.placer.outages.on_news = sender.has_news
+    world.network.receivers[(address.host, PEER_PORT)] = sender.receive
+    return sender
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -1,6 +1,7 @@
 """A whole packet world on virtual time: nodes run the product's own code."""
 
 import json
+import math
 import zlib
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from random import Random
@@ -74,6 +75,18 @@
             self.backlog.append(payload)
         elif self.alive:
             self.core.handle(payload, self.timeline.now)
+            self.wait_for_missed()
+
+    def wait_for_missed(self) -> None:
+        """Look for missed openings when the next one is due."""
+        wait = self.core.quiet_for(self.timeline.now)
+        if not math.isinf(wait):
+            self.timeline.after(wait, self.overlook)
+
+    def overlook(self) -> None:
+        """Conclude from missed openings, as a node does that has read all."""
+        if self.alive and not self.stands:
+            self.core.forwarder.overlook(self.timeline.now)
 
     def go_on(self) -> None:
         """Handle all that has come in meanwhile, in one go."""
@@ -165,6 +178,10 @@
         """Write an upstream's entry."""
         write_entry(self.put, upstream, state)
 
+    def put_entry(self, upstream: LabUpstream, entry: dict[str, Any]) -> None:
+        """Write what an upstream says of itself."""
+        self.put(UPSTREAMS + upstream.name, json.dumps(entry).encode())
+
     def deregister(self, upstream: LabUpstream) -> None:
         """Remove an upstream's entry."""
         self.remove(UPSTREAMS + upstream.name)
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -18,10 +18,11 @@
 from burdocksill.readers import changes
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.claims import Claim
-from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.datagrams import Ask, Signs, Update
 from burdocksill.readers.messages import Reader, ReaderEntry
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import (
+    MOST_SIGNS,
     UPDATE,
     UPDATE_KIND,
     decode,
@@ -100,6 +101,9 @@
         if isinstance(message, Update):
             assert message.age >= 0
             assert message.revision >= message.after
+        elif isinstance(message, Signs):
+            assert 0 < len(message.signs) <= MOST_SIGNS
+            assert all(sign.at <= 0 for sign in message.signs)
         else:
             assert message is None or isinstance(message, Ask)
 
