Call the store once where all nodes of a domain called it

At a start each of 39 nodes missed a reader and offered itself in vain (a lease and a swap each), and at 2 s, before it had asked the winner, read the store too. When a watch fell silent the reader gave it up 2.2 s after its last news, and its followers call at 2.0 s. While the store was down each follower called it again and again, 6 a second a domain.

Change: - a node looks whether another has offered meanwhile (a stale read, a tenth of a call) before it offers, and before it would read by itself; offers come late in their time, so that the first is known by then; who wins reads at once, and who knows no reader looks for one ten times a second; - a watch that falls silent is made again after four times what calls take, 0.15 s at least, so that followers never see their reader fall behind; - while its reader answers but is out of touch, a follower reads the store when its turn comes, 8 a second in a domain; one that succeeds offers what it knows to the reader, which asks for it and passes it on. A reader that answers nobody is not waited for, as before.

The story of a killed node found the killed one by the log that ends first, which held while the others still had something to say of readers. They have not any more: the story now opens flows at the others after the kill, so that their logs go on; the check is the same.

The counts of missed openings, of signs and of doubted domains are metrics.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -18,7 +18,7 @@
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.packets.upstreams import Upstreams
-from burdocksill.packets.verdicts import Drop, Forward, Reset
+from burdocksill.packets.verdicts import Drop, Forward, Reason, Reset
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
                 payload = self.datagrams.recv(LARGEST_PACKET + 1)
             except BlockingIOError:
                 self.behind_since = 0
-                self.forwarder.overlook(now)
+                self.overlook(now)
                 return
             except ConnectionError:
                 # An upstream's host refused an earlier datagram; that says
@@ -88,6 +88,12 @@
             self.handle(payload, now)
         self.behind_since = self.behind_since or now
 
+    def overlook(self, now: float) -> None:
+        """Conclude from openings that nothing has followed, and count them."""
+        missed = self.forwarder.overlook(now)
+        if missed:
+            self.counts[Reason.OPENING_MISSED.value] += missed
+
     def quiet_for(self, now: float) -> float:
         """Return the seconds until an opening is missed unless packets come."""
         return max(0, self.forwarder.openings.next_due() - now)
--- a/burdocksill/packets/follower.py
+++ b/burdocksill/packets/follower.py
@@ -14,6 +14,7 @@
     PlatformAnswerTooLargeError,
     PlatformCompactedError,
     PlatformCutShortError,
+    PlatformUnavailableError,
 )
 from burdocksill.platform.values import Snapshot
 
@@ -30,6 +31,11 @@
 # that rely on this one call the store themselves a little later.
 KNOWN_WITHIN_SECONDS: Final = 1.5
 SHORTEST_WAIT_SECONDS: Final = 0.05
+# An answer that is later than the wait by several times what calls take, within
+# these bounds, is not waited for any longer.
+CALL_FACTOR: Final = 4.0
+SHORTEST_MARGIN_SECONDS: Final = 0.15
+LONGEST_MARGIN_SECONDS: Final = 0.7
 # Changes of this many bytes are read even where a whole reading takes less.
 SMALL_ANSWER_BYTES: Final = 65536
 
@@ -49,10 +55,13 @@
         after: int,
         wait: float,
         largest: float,
+        margin: float,
     ) -> Snapshot:
         """Wait for changes after a revision; none when the wait ran out.
 
-        PlatformAnswerTooLargeError for changes of more than `largest` bytes.
+        PlatformAnswerTooLargeError for changes of more than `largest` bytes,
+        PlatformUnavailableError where no answer begins `margin` seconds after
+        the wait.
         """
 
 
@@ -62,6 +71,9 @@
     async def wait(self) -> None:
         """Return once it should."""
 
+    def called(self, *, answered: bool) -> None:
+        """Take note of a call, and whether it brought knowledge."""
+
 
 @attrs.define(kw_only=True, eq=False, repr=False)
 class AlwaysTurn:
@@ -70,6 +82,9 @@
     async def wait(self) -> None:
         """Return at once."""
 
+    def called(self, *, answered: bool) -> None:
+        """Do nothing: the next call comes anyway."""
+
 
 @attrs.define(kw_only=True, eq=False, repr=False)
 class Follower:
@@ -84,6 +99,8 @@
     rng: Random
     turn: Turn = attrs.field(factory=AlwaysTurn)
     pause: float = FIRST_PAUSE_SECONDS
+    # What the latest call took above its wait.
+    call_seconds: float = LONGEST_MARGIN_SECONDS
     line: StateLine = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -111,6 +128,7 @@
                 )
                 self.knowledge.progress.incomplete = True
             except BurdocksillError as error:
+                self.turn.called(answered=False)
                 self.failed(error)
                 await trio.sleep(self.pause * self.rng.uniform(0.5, 1))
                 self.pause = min(self.pause * 2, LONGEST_PAUSE_SECONDS)
@@ -123,19 +141,61 @@
             found = await self.source.read_prefix(self.prefix)
             self.knowledge.take_all(found, asked_at)
         else:
-            found = await self.source.changes(
-                prefix=self.prefix,
-                after=progress.revision,
-                wait=self.wait_seconds(),
-                largest=self.largest_bytes(),
-            )
-            current_at = asked_at + found.unchanged_seconds
-            self.knowledge.take_changes(found, current_at)
+            found = await self.changes()
         self.pause = FIRST_PAUSE_SECONDS
         self.line.enter('store followed', revision=str(found.revision))
+        self.turn.called(answered=True)
         if found.values:
             await trio.sleep(GATHER_SECONDS)
 
+    async def changes(self) -> Snapshot:
+        """Wait for changes and learn them; a silent call is made once more.
+
+        A connection that fell silent shows by nothing but the missing answer.
+        Other nodes rely on this one, and would all read the store themselves
+        before a call was given up as late as one to a slow store must be.
+        """
+        try:
+            return await self.ask_changes(self.wait_seconds(), self.margin())
+        except PlatformUnavailableError as error:
+            if not error.silent:
+                raise
+            logger.info(
+                'watch made again',
+                extra={
+                    'revision': self.knowledge.revision,
+                    'age_s': round(self.knowledge.age(), 3),
+                    'cause': str(error),
+                },
+            )
+        return await self.ask_changes(
+            SHORTEST_WAIT_SECONDS,
+            LONGEST_MARGIN_SECONDS,
+        )
+
+    async def ask_changes(self, wait: float, margin: float) -> Snapshot:
+        """Make one call for changes, and learn them."""
+        progress = self.knowledge.progress
+        asked_at = progress.now()
+        found = await self.source.changes(
+            prefix=self.prefix,
+            after=progress.revision,
+            wait=wait,
+            largest=self.largest_bytes(),
+            margin=margin,
+        )
+        took = progress.now() - asked_at
+        if took > wait:
+            # It was the wait that ran out: the rest is what a call takes.
+            self.call_seconds = took - wait
+        self.knowledge.take_changes(found, asked_at + found.unchanged_seconds)
+        return found
+
+    def margin(self) -> float:
+        """Return how late after its wait a call may be answered."""
+        usual = self.call_seconds * CALL_FACTOR
+        return min(max(usual, SHORTEST_MARGIN_SECONDS), LONGEST_MARGIN_SECONDS)
+
     def wait_seconds(self) -> float:
         """Return how long the store may hold the next call."""
         left = KNOWN_WITHIN_SECONDS - self.knowledge.age()
--- a/burdocksill/packets/following.py
+++ b/burdocksill/packets/following.py
@@ -1,6 +1,7 @@
 """Compose how a node learns what the store says: from it, or from a reader."""
 
 from collections import Counter
+from functools import partial
 from random import Random
 
 import attrs
@@ -15,7 +16,7 @@
 from burdocksill.packets.learner import Learner
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.platform.keys import READERS
-from burdocksill.platform.records import EVERYTHING, write_reader
+from burdocksill.platform.records import EVERYTHING, read_reader, write_reader
 from burdocksill.platform.store import StorePlatform
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.claims import Claim
@@ -72,6 +73,14 @@
         """Return how many answers of the store were given up half-way."""
         return sum(platform.cut_short for platform in self.platforms)
 
+    @property
+    def signs(self) -> dict[str, int]:
+        """Count what this node told others of upstreams, and was told."""
+        if self.sharing is None:
+            return {}
+        signs = self.sharing.exchange.signs
+        return {'sent': signs.sent, 'received': signs.received}
+
     async def run(self) -> None:
         """Follow the store and the readers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -188,14 +197,17 @@
         ),
     )
     directory.placer.outages.on_news = exchange.has_news
+    exchange.turn.on_answer = exchange.offer
     return Sharing(
         exchange=exchange,
         candidate=Candidate(
             claim=claim,
             key=READERS + settings.domain,
             value=write_reader(itself),
+            read_entry=partial(read_reader, settings.domain),
             store=platform,
             subscription=subscription,
+            turn=exchange.turn,
         ),
         platform=platform,
     )
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -158,11 +158,12 @@
             upstream.health.missed(now, seen.seen_at)
         return frozenset((upstream.record.name,))
 
-    def overlook(self, now: float) -> None:
-        """Draw conclusions from openings that nothing has followed.
+    def overlook(self, now: float) -> int:
+        """Draw conclusions from openings that nothing has followed; count them.
 
         To be called when no packet waits: the one that follows may be there.
         """
+        count = 0
         for opening in self.openings.missed(now):
             flow = opening.flow
             if self.flows.find(opening.key) is not flow or self.flows.behind:
@@ -173,6 +174,8 @@
             upstream.health.missed(now, flow.seen_at)
             self.placer.outages.missed(upstream, now)
             self.log.decided(opening.key, Reason.OPENING_MISSED, upstream)
+            count += 1
+        return count
 
     def without_route(self, packet: Packet) -> Verdict:
         """End or drop an opening for an address that has no route."""
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -29,6 +29,7 @@
             more = self.since_shown('store_calls', str(status), count)
             self.counters.add('store_calls', more, status=str(status))
         self.count_answers()
+        self.count_signs()
         for priority, count in self.core.forwarder.refused_for_load.items():
             more = self.since_shown('refused', str(priority), count)
             self.counters.add('refused_for_load', more, priority=str(priority))
@@ -47,6 +48,12 @@
         more = self.since_shown('store_answers_cut_short', '', count)
         self.counters.add('store_answers_cut_short', more)
 
+    def count_signs(self) -> None:
+        """Count what nodes tell each other of upstreams."""
+        for direction, count in self.following.signs.items():
+            more = self.since_shown('signs', direction, count)
+            self.counters.add('signs', more, direction=direction)
+
     def since_shown(self, name: str, label: str, count: int) -> int:
         """Return by how much a count grew since the last page."""
         before = self.shown.get((name, label), 0)
@@ -65,6 +72,9 @@
             'upstreams_aside': sum(one.health.is_aside(now) for one in known),
             'flows_seen': len(self.core.forwarder.flows.flows),
             'domains_out': len(learner.placer.out),
+            'domains_doubted': sum(
+                1 for _ in learner.placer.outages.doubted(now)
+            ),
             'reads_for_domain': int(self.following.reads),
         }
         lines = [
--- a/burdocksill/platform/calls.py
+++ b/burdocksill/platform/calls.py
@@ -34,9 +34,13 @@
     return ''.join(f'%{byte:02X}' for byte in text.encode())
 
 
-def key_target(key: str) -> str:
-    """Return the target of a call that reads one key."""
-    return f'/-/kv-key?Key={quote(key)}'
+def key_target(key: str, *, stale: bool = False) -> str:
+    """Return the target of a call that reads one key.
+
+    A stale answer may be seconds old, and costs a tenth.
+    """
+    target = f'/-/kv-key?Key={quote(key)}'
+    return f'{target}&AllowStale=1' if stale else target
 
 
 def watch_target(prefix: str, after: int, wait_milliseconds: int) -> str:
--- a/burdocksill/platform/exceptions.py
+++ b/burdocksill/platform/exceptions.py
@@ -7,6 +7,9 @@
     """Say that the platform did not answer; a write may have taken effect."""
 
     code = 'burdocksill.E101'
+    # True when nothing of an answer arrived in time: the connection may be
+    # silent for good while another one would work.
+    silent = False
 
 
 class PlatformCutShortError(PlatformUnavailableError):
--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -111,10 +111,12 @@
         """Return the error for a call that got no whole answer."""
         message = f'{call} got no answer: {error!r}'
         if not self.connection.received:
-            return PlatformUnavailableError(
+            lost = PlatformUnavailableError(
                 message=message,
                 hint='the store may be down; what is in force stays',
             )
+            lost.silent = isinstance(error, trio.TooSlowError)
+            return lost
         self.cut_short += 1
         return PlatformCutShortError(
             message=message,
@@ -122,9 +124,14 @@
             expected=self.connection.expected,
         )
 
-    async def read(self, key: str) -> StoredValue | None:
+    async def read(
+        self,
+        key: str,
+        *,
+        stale: bool = False,
+    ) -> StoredValue | None:
         """Return one value, or None when the key is absent."""
-        target = key_target(key)
+        target = key_target(key, stale=stale)
         reply = await self.call('GET', target)
         if reply.status == NOT_FOUND:
             return None
@@ -149,13 +156,15 @@
         after: int,
         wait: float = WATCH_WAIT_SECONDS,
         largest: float = math.inf,
+        margin: float = WATCH_MARGIN_SECONDS,
     ) -> Snapshot:
         """Wait for changes after a revision; none when the wait ran out.
 
-        Changes of more than `largest` bytes are not read.
+        Changes of more than `largest` bytes are not read. An answer that has
+        not begun `margin` seconds after the wait is lost.
         """
         target = watch_target(prefix, after, round(wait * MILLISECONDS))
-        timeout = wait + WATCH_MARGIN_SECONDS
+        timeout = wait + margin
         reply = await self.call(
             'GET',
             target,
--- a/burdocksill/readers/claims.py
+++ b/burdocksill/readers/claims.py
@@ -1,6 +1,7 @@
 """Decide when a node offers to read the store for its failure domain."""
 
 import logging
+import math
 from random import Random
 from typing import Final
 
@@ -22,11 +23,17 @@
 # Nodes that miss a reader offer themselves at random times up to this one, so
 # that most see another's offer before their own.
 SPREAD_SECONDS: Final = 1.0
+# Most offers come late in that time, so that the first is known by then however
+# many nodes there are.
+LATE_EXPONENT: Final = 1 / 3
 # A machine with few cores waits longer, one with as few as this or less the
 # longest: a domain's reader answers all of its nodes, and a quicker one does so
 # sooner.
 LEAST_CORES: Final = 0.25
 NO_LEASE: Final = 0
+# A node that misses a reader looks for another's offer after this, shortly
+# before it would read the store by itself.
+LOOK_UP_SECONDS: Final = (1.0, 1.4)
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +54,8 @@
     kept_at: float = 0
     # When to offer; 0 while there is a reader.
     offer_at: float = 0
+    # When to look whether another node has offered meanwhile; 0: not any more.
+    look_at: float = 0
     # No offer before this time.
     retry_at: float = 0
 
@@ -77,13 +86,45 @@
             return False
         now = self.clock()
         if not self.offer_at:
-            self.offer_at = now + self.rng.uniform(0, self.spread())
+            late = self.rng.random() ** LATE_EXPONENT
+            self.offer_at = now + late * self.spread()
+            self.look_at = now + self.rng.uniform(*LOOK_UP_SECONDS)
         return now >= self.offer_at
 
+    def due_in(self) -> float:
+        """Return the seconds until the offer that is planned, if one is."""
+        if not self.offer_at:
+            return math.inf
+        planned = max(self.offer_at, self.retry_at)
+        if self.look_at:
+            planned = min(planned, self.look_at)
+        return planned - self.clock()
+
+    def looks(self) -> bool:
+        """Return True, once, when it is time to look for another's offer."""
+        if not self.offer_at or not self.look_at or self.clock() < self.look_at:
+            return False
+        self.look_at = 0
+        return True
+
     def spread(self) -> float:
         """Return the longest time to wait before an offer."""
         return SPREAD_SECONDS / min(max(self.cores, LEAST_CORES), 1)
 
+    def yields_to(self, entry: ReaderEntry, known_revision: int) -> bool:
+        """Return True when an entry shows a reader that this node has missed.
+
+        One of a revision that is known already is there no more.
+        """
+        other = entry.reader
+        if other is None or other.name == self.itself.name:
+            return False
+        if entry.revision <= known_revision:
+            return False
+        self.offer_at = 0
+        self.directory.learn_reader(entry)
+        return True
+
     def settle(self, result: SwapResult, lease: int, began: float) -> None:
         """Take note of how an offer ended."""
         self.offer_at = 0
--- a/burdocksill/readers/datagrams.py
+++ b/burdocksill/readers/datagrams.py
@@ -28,12 +28,26 @@
     # Seconds for which the store has been read without trouble; below 0 while
     # it can't be read.
     stable: float
+    # How many nodes its sender tells of changes.
+    followers: int = 0
     # None: they are too many for a datagram, or too old to be kept.
     changes: tuple[StoredValue, ...] | None = ()
 
 
+@attrs.frozen(kw_only=True)
+class Offer:
+    """Tell a reader without touch that its follower has read the store."""
+
+    revision: int
+    # Seconds since everything up to `revision` was known to be all.
+    age: float
+
+
 @attrs.frozen(kw_only=True)
 class Signs:
     """Tell which upstreams answered or missed an opening, and who saw it."""
 
     signs: tuple[Sign, ...]
+
+
+Message = Ask | Update | Offer | Signs
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -1,6 +1,7 @@
 """The tasks that talk to other nodes about the store."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -10,16 +11,20 @@
 from burdocksill.network.addresses import Address
 from burdocksill.network.protocols import DatagramSocket
 from burdocksill.observe.lines import StateLine
+from burdocksill.platform.values import StoredValue
 from burdocksill.readers.claims import KEEP_SECONDS, LEASE_SECONDS, Claim
-from burdocksill.readers.datagrams import Ask, Signs, Update
+from burdocksill.readers.datagrams import Ask, Message, Offer, Signs, Update
+from burdocksill.readers.messages import ReaderEntry
 from burdocksill.readers.protocols import LeaseStore
 from burdocksill.readers.publisher import Publisher
 from burdocksill.readers.signs import GATHER_SECONDS, SignExchange
 from burdocksill.readers.subscription import Subscription
-from burdocksill.readers.wire import decode, encode_ask
+from burdocksill.readers.wire import decode, encode_ask, encode_offer
 
 # How often a node looks whether its domain lacks a reader.
 LOOK_SECONDS: Final = 0.5
+# How often a node that knows no reader looks for one to ask.
+NOBODY_SECONDS: Final = 0.1
 # Between two looks at the time; trio's timers are later than this at times.
 SHORTEST_SLEEP_SECONDS: Final = 0.02
 
@@ -32,6 +37,8 @@
 
     subscription: Subscription
     woken: trio.Event = attrs.field(factory=trio.Event)
+    # Called after each call that the store answered.
+    on_answer: Callable[[], None] | None = None
 
     async def wait(self) -> None:
         """Return once this node should call."""
@@ -40,9 +47,16 @@
             if seconds <= 0:
                 return
             self.woken = trio.Event()
-            with trio.move_on_after(max(seconds, SHORTEST_SLEEP_SECONDS)):
+            pause = min(max(seconds, SHORTEST_SLEEP_SECONDS), LOOK_SECONDS)
+            with trio.move_on_after(pause):
                 await self.woken.wait()
 
+    def called(self, *, answered: bool) -> None:
+        """Take note of a call that this node has made."""
+        self.subscription.called()
+        if answered and self.on_answer is not None:
+            self.on_answer()
+
     def wake(self) -> None:
         """Look again at once whether this node should call."""
         self.woken.set()
@@ -74,18 +88,35 @@
                 else:
                     self.take(message, datagram.peer)
 
-    def take(self, message: Ask | Update | Signs, sender: Address) -> None:
+    def take(self, message: Message, sender: Address) -> None:
         """Handle a message of another node."""
-        if isinstance(message, Ask):
-            self.publisher.answer(message, sender)
-        elif isinstance(message, Signs):
-            self.signs.take(message.signs, sender)
-            if self.signs.waiting:
-                self.news.set()
-        else:
-            self.subscription.take(message, sender)
-            if self.subscription.must_read:
-                self.turn.wake()
+        match message:
+            case Ask():
+                self.publisher.answer(message, sender)
+            case Update():
+                self.subscription.take(message, sender)
+                if self.subscription.must_read:
+                    self.turn.wake()
+            case Offer():
+                self.take_offer(message, sender)
+            case Signs():
+                self.signs.take(message.signs, sender)
+                if self.signs.waiting:
+                    self.news.set()
+
+    def take_offer(self, offer: Offer, sender: Address) -> None:
+        """Ask a follower for what this reader can't read itself."""
+        if self.subscription.wants(offer):
+            self.line.enter('follower asked', follower=str(sender))
+            ask = self.subscription.ask_of(sender)
+            self.socket.send(encode_ask(ask), sender)
+
+    def offer(self) -> None:
+        """Tell the own reader what the store has just told this node."""
+        found = self.subscription.offer()
+        if found is not None:
+            reader, offer = found
+            self.socket.send(encode_offer(offer), reader.address)
 
     async def tell_signs(self) -> None:
         """Tell what openings on upstreams met, as soon as there is any."""
@@ -104,7 +135,7 @@
         while True:
             pause = self.subscription.asks_in()
             if pause <= 0 and not self.ask_now():
-                pause = LOOK_SECONDS
+                pause = NOBODY_SECONDS
             await trio.sleep(max(pause, SHORTEST_SLEEP_SECONDS))
 
     def ask_now(self) -> bool:
@@ -126,8 +157,11 @@
     # The domain's entry in the store, and what this node writes there.
     key: str
     value: bytes
+    # Reads the entry that another node has written there.
+    read_entry: Callable[[StoredValue], ReaderEntry]
     store: LeaseStore
     subscription: Subscription
+    turn: SharedTurn
     # The store's client makes one call at a time; a stop may come in between.
     lock: trio.Lock = attrs.field(factory=trio.Lock)
     stopped: bool = False
@@ -136,7 +170,8 @@
     async def run(self) -> None:
         """Offer and renew until the node stops."""
         while True:
-            await trio.sleep(KEEP_SECONDS if self.claim.holds else LOOK_SECONDS)
+            await trio.sleep(self.pause())
+            began = self.claim.holds
             try:
                 async with self.lock:
                     await self.step()
@@ -153,6 +188,16 @@
                 self.line.enter('lease calls answered', level=logging.DEBUG)
             self.claim.check()
             self.subscription.reads = self.claim.holds
+            if began != self.claim.holds:
+                # Others ask the new reader at once, and it must be current.
+                self.turn.wake()
+
+    def pause(self) -> float:
+        """Return the seconds until a lease is renewed or an offer is due."""
+        if self.claim.holds:
+            return KEEP_SECONDS
+        due_in = self.claim.due_in()
+        return min(max(due_in, SHORTEST_SLEEP_SECONDS), LOOK_SECONDS)
 
     async def step(self) -> None:
         """Renew the lease, or offer this node if that is due."""
@@ -164,6 +209,8 @@
             self.claim.renewed(began, runs=runs)
         elif self.claim.is_due():
             await self.offer(began)
+        elif self.claim.looks():
+            await self.is_taken()
 
     async def offer(self, began: float) -> None:
         """Try to become the reader.
@@ -172,6 +219,8 @@
         another node's entry may have been learned, which must not be replaced.
         """
         expected = self.claim.entry.revision
+        if await self.is_taken():
+            return
         lease = await self.store.grant(LEASE_SECONDS)
         result = await self.store.swap(
             key=self.key,
@@ -181,6 +230,18 @@
         )
         self.claim.settle(result, lease, began)
 
+    async def is_taken(self) -> bool:
+        """Return True when another node has become the reader meanwhile.
+
+        All nodes of a domain miss a reader at once; without this look each of
+        them would begin a lease to no end.
+        """
+        stored = await self.store.read(self.key, stale=True)
+        if stored is None:
+            return False
+        known_revision = self.subscription.knowledge.revision
+        return self.claim.yields_to(self.read_entry(stored), known_revision)
+
     async def leave(self) -> None:
         """Let another node take over at once, as this one stops."""
         self.stopped = True
--- a/burdocksill/readers/protocols.py
+++ b/burdocksill/readers/protocols.py
@@ -4,7 +4,7 @@
 
 from burdocksill.network.addresses import Address
 from burdocksill.platform.protocols import SwapResult
-from burdocksill.platform.values import Snapshot
+from burdocksill.platform.values import Snapshot, StoredValue
 from burdocksill.readers.messages import ReaderEntry, Sign
 
 
@@ -39,6 +39,9 @@
     def readers(self) -> dict[str, ReaderEntry]:
         """Return the entries by failure domain."""
 
+    def learn_reader(self, entry: ReaderEntry) -> None:
+        """Take note of who reads for a failure domain."""
+
 
 class Signs(Protocol):
     """Hold what openings on upstreams met."""
@@ -62,6 +65,14 @@
     async def end(self, lease: int) -> None:
         """End a lease, and remove its keys."""
 
+    async def read(
+        self,
+        key: str,
+        *,
+        stale: bool = False,
+    ) -> StoredValue | None:
+        """Return a value; a stale one may be seconds old, and costs less."""
+
     async def swap(
         self,
         *,
--- a/burdocksill/readers/publisher.py
+++ b/burdocksill/readers/publisher.py
@@ -97,6 +97,7 @@
             revision=max(knowledge.revision, subscriber.revision),
             age=knowledge.age(),
             stable=knowledge.stable_for,
+            followers=len(self.subscribers),
         )
         self.send(encode_update(update, body), address)
         subscriber.revision = update.revision
--- a/burdocksill/readers/subscription.py
+++ b/burdocksill/readers/subscription.py
@@ -10,7 +10,7 @@
 from burdocksill.network.addresses import Address
 from burdocksill.network.clock import Clock
 from burdocksill.platform.values import Snapshot
-from burdocksill.readers.datagrams import Ask, Update
+from burdocksill.readers.datagrams import Ask, Offer, Update
 from burdocksill.readers.messages import Reader
 from burdocksill.readers.protocols import Directory, Knowledge
 
@@ -25,6 +25,11 @@
 # Older knowledge makes a node read the store by itself, while there is time for
 # a slow call before a change must be in force.
 OLD_SECONDS: Final = 2.0
+# While the own reader answers but is out of touch itself, so many of its nodes
+# a second read the store in its place; one that succeeds tells it.
+CALLS_PER_SECOND: Final = 8.0
+# A reader that answered an ask so lately is alive.
+HEARD_SECONDS: Final = 1.0
 # While neither a reader nor the store helps, asks are repeated this slowly.
 SLOW_REPEAT_SECONDS: Final = 0.5
 TOKENS_KEPT: Final = 64
@@ -61,6 +66,11 @@
     asked_at: float = float('-inf')
     # Asks since the last good answer.
     tries: int = 0
+    # When the own domain's reader last answered, and how many nodes ask it.
+    heard_at: float = float('-inf')
+    followers: int = 0
+    # When it is this node's turn to read the store for them; 0: not drawn.
+    turn_at: float = 0
     asked: OrderedDict[int, Asked] = attrs.field(factory=OrderedDict)
 
     @property
@@ -71,15 +81,56 @@
     @property
     def must_call(self) -> bool:
         """Return True when this node should read the store itself."""
-        if self.reads or self.must_read:
-            return True
-        return self.knowledge.age() > OLD_SECONDS
+        return self.calls_in() <= 0
 
     def calls_in(self) -> float:
         """Return the seconds until that may be so, 0 if it is."""
-        if self.must_call:
+        if self.reads or self.must_read:
+            return 0
+        age = self.knowledge.age()
+        if age <= OLD_SECONDS:
+            self.turn_at = 0
+            return OLD_SECONDS - age
+        return self.turn_in()
+
+    @property
+    def hears_reader(self) -> bool:
+        """Return True while the own domain's reader answers asks."""
+        return self.clock() - self.heard_at <= HEARD_SECONDS
+
+    def turn_in(self) -> float:
+        """Return the seconds until this node reads in its reader's place.
+
+        A store in trouble would be called by all nodes at once, again and
+        again, and each of them would learn no more than the first.
+        """
+        if not self.hears_reader:
             return 0
-        return OLD_SECONDS - self.knowledge.age()
+        if not self.turn_at:
+            longest = self.followers / CALLS_PER_SECOND
+            self.turn_at = self.clock() + self.rng.uniform(0, longest)
+        return max(0, self.turn_at - self.clock())
+
+    def called(self) -> None:
+        """Take note of a call, after which it is the turn of others."""
+        self.turn_at = 0
+
+    def offer(self) -> tuple[Reader, Offer] | None:
+        """Return what to tell the own reader after a call that succeeded."""
+        entry = self.directory.readers.get(self.domain)
+        reader = None if entry is None else entry.reader
+        if self.reads or reader is None or not self.hears_reader:
+            return None
+        offer = Offer(
+            revision=self.knowledge.revision,
+            age=self.knowledge.age(),
+        )
+        return reader, offer
+
+    def wants(self, offer: Offer) -> bool:
+        """Return True when a follower knows what this reader can't read."""
+        age = self.knowledge.age()
+        return self.reads and age > OLD_SECONDS and offer.age < age
 
     def asks_in(self) -> float:
         """Return the seconds until another node should be asked."""
@@ -100,18 +151,22 @@
         reader = self.choose()
         if reader is None or not self.knowledge.revision:
             return None
+        return reader, self.ask_of(reader.address)
+
+    def ask_of(self, address: Address) -> Ask:
+        """Return an ask that a node may answer."""
         now = self.clock()
         ask = Ask(
             token=self.rng.getrandbits(TOKEN_BITS),
             revision=self.knowledge.revision,
         )
-        self.asked[ask.token] = Asked(reader.address, now)
+        self.asked[ask.token] = Asked(address, now)
         if len(self.asked) > TOKENS_KEPT:
             self.asked.popitem(last=False)
         self.asked_at = now
         self.behind = False
         self.tries += 1
-        return reader, ask
+        return ask
 
     def choose(self) -> Reader | None:
         """Return the own domain's reader, and others in turn if it is silent.
@@ -138,6 +193,7 @@
         asked = self.asked.get(update.token)
         if asked is None or asked.address != sender:
             return False
+        self.hear(update, sender)
         if update.changes is None:
             self.leave_to_store(update, sender)
             return True
@@ -154,6 +210,14 @@
             self.tries = 0
         return True
 
+    def hear(self, update: Update, sender: Address) -> None:
+        """Take note that the own domain's reader is there."""
+        entry = self.directory.readers.get(self.domain)
+        reader = None if entry is None else entry.reader
+        if reader is not None and reader.address == sender:
+            self.heard_at = self.clock()
+            self.followers = update.followers
+
     def leave_to_store(self, update: Update, sender: Address) -> None:
         """Take note of changes that a reader could not put into a datagram."""
         self.left_to_store = max(self.left_to_store, update.revision)
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -8,16 +8,20 @@
 import attrs
 
 from burdocksill.platform.values import StoredValue
-from burdocksill.readers.datagrams import Ask, Signs, Update
+from burdocksill.readers.datagrams import Ask, Message, Offer, Signs, Update
 from burdocksill.readers.messages import Sign
 
 ASK_KIND: Final = 1
 UPDATE_KIND: Final = 2
 SIGNS_KIND: Final = 3
+OFFER_KIND: Final = 4
 # Kind, token, revision.
 ASK: Final = struct.Struct('>BQQ')
-# Kind, token, after, revision, age, stable, whether changes follow.
-UPDATE: Final = struct.Struct('>BQQQff?')
+# Kind, token, after, revision, age, stable, followers, whether changes follow.
+UPDATE: Final = struct.Struct('>BQQQffH?')
+MOST_FOLLOWERS: Final = (1 << 16) - 1
+# Kind, revision, age.
+OFFER: Final = struct.Struct('>BQf')
 # Revision, whether the key was removed, length of key and value.
 CHANGE: Final = struct.Struct('>Q?HI')
 # Echo, witness, age in milliseconds, whether it answered.
@@ -44,6 +48,7 @@
     revision: int
     age: float
     stable: float
+    followers: int
     whole: bool
 
 
@@ -52,7 +57,7 @@
     return ASK.pack(ASK_KIND, ask.token, ask.revision)
 
 
-def decode(payload: bytes, now: float = 0) -> Ask | Update | Signs | None:
+def decode(payload: bytes, now: float = 0) -> Message | None:
     """Read a datagram, None for anything that no node would send."""
     kind = payload[0] if payload else 0
     if kind == ASK_KIND and len(payload) == ASK.size:
@@ -63,9 +68,22 @@
         return decode_update(payload)
     if kind == SIGNS_KIND:
         return decode_signs(payload[1:], now)
+    if kind == OFFER_KIND and len(payload) == OFFER.size:
+        return decode_offer(payload)
     return None
 
 
+def encode_offer(offer: Offer) -> bytes:
+    """Write an offer."""
+    return OFFER.pack(OFFER_KIND, offer.revision, offer.age)
+
+
+def decode_offer(payload: bytes) -> Offer | None:
+    """Read an offer."""
+    _, revision, age = OFFER.unpack(payload)
+    return Offer(revision=revision, age=age) if age >= 0 else None
+
+
 def encode_signs(signs: Iterable[Sign], now: float) -> bytes:
     """Write signs with their ages; clocks of two nodes differ."""
     parts = [bytes((SIGNS_KIND,))]
@@ -124,6 +142,7 @@
         update.revision,
         update.age,
         update.stable,
+        min(update.followers, MOST_FOLLOWERS),
         body is not None,
     )
     return head + (body or b'')
@@ -143,6 +162,7 @@
         revision=head.revision,
         age=head.age,
         stable=head.stable,
+        followers=head.followers,
         changes=changes if head.whole else None,
     )
 
--- a/burdocksill_lab/commands/packets.py
+++ b/burdocksill_lab/commands/packets.py
@@ -23,6 +23,9 @@
 SETTLE_SECONDS: Final = 1.2
 # Troubles begin when flows have had an answer or two.
 TROUBLE_SECONDS: Final = 1.5
+# Two probes miss a killed node, and a third is under way.
+TURNED_AWAY_SECONDS: Final = 2.0
+LATER_FLOWS: Final = 6
 UNKNOWN_PORT: Final = 9999
 UNKNOWN_FLOWS: Final = 3
 Trouble = Callable[[LoopbackDay], Awaitable[None]]
@@ -117,10 +120,12 @@
 
 
 async def kill_node(day: LoopbackDay) -> None:
-    """Kill a node; routers notice after two probes."""
+    """Kill a node; once routers have noticed, open flows at the others."""
     await trio.sleep(TROUBLE_SECONDS)
     click.echo(f'{day.nodes[0].host} is killed')
     day.nodes[0].signal(signal.SIGKILL)
+    await trio.sleep(TURNED_AWAY_SECONDS)
+    day.open_flows(LATER_FLOWS)
 
 
 async def silence_upstream(day: LoopbackDay) -> None:
--- a/burdocksill_lab/packets/store.py
+++ b/burdocksill_lab/packets/store.py
@@ -93,6 +93,9 @@
     turned_away: set[str] = attrs.field(factory=set)
     trouble: Trouble = Trouble.NONE
     delay_seconds: float = 0
+    connections: int = 0
+    # Connections up to this number carry nothing more; new ones work.
+    muted: int = 0
     # What the store's link carries; 0 for any amount.
     bytes_per_second: float = 0
     calls: list[str] = attrs.field(factory=list)
@@ -163,8 +166,9 @@
             await trio.aclose_forcefully(stream)
             return
         protocol = h11.Connection(h11.SERVER)
+        self.connections += 1
         try:
-            await self.serve_all(protocol, stream)
+            await self.serve_all(protocol, stream, self.connections)
         except (h11.ProtocolError, OSError, trio.BrokenResourceError):
             # The client went away; its connection is all there is to end.
             return
@@ -175,6 +179,7 @@
         self,
         protocol: h11.Connection,
         stream: trio.abc.Stream,
+        number: int,
     ) -> None:
         """Answer one request after the other."""
         while True:
@@ -187,6 +192,8 @@
             reply = await self.answer(request, body)
             if reply is None:
                 return
+            if number <= self.muted:
+                await trio.sleep_forever()
             written = write_reply(protocol, reply)
             if self.trouble is Trouble.HALF:
                 await stream.send_all(written[: len(written) // 2])
--- a/tests/readers/fleet.feature
+++ b/tests/readers/fleet.feature
@@ -26,6 +26,48 @@
     Given a fleet of 60 nodes in 3 domains
     Then each domain has one reader
 
+  Scenario Outline: A start costs one reading a node, and little more
+    Guards against offers and readings of each node that misses a reader.
+    When <nodes> nodes in <domains> domains start together
+    Then each domain has one reader
+    And calls worth at most <calls> were made
+
+    Examples:
+      | nodes | domains | calls |
+      | 6     | 3       | 60    |
+      | 60    | 3       | 120   |
+      | 195   | 5       | 300   |
+
+  Scenario: Connections that fall silent keep nobody behind
+    Guards against nodes that all read the store before its reader gives up.
+    Given a fleet of 100 nodes in 5 domains
+    When the store's open connections fall silent and its history is dropped
+    And 4 quiet seconds pass
+    Then no node's knowledge was older than 2.0 seconds
+    And at most 60 calls were made for it
+
+  Scenario Outline: A store in trouble is not called by all nodes
+    Guards against hundreds of calls that tell no more than the first.
+    Given a fleet of 100 nodes in 5 domains
+    When the store's trouble is "<trouble>" for 6 seconds
+    And a manifest is written
+    Then it is in force on all nodes within 1.2 seconds
+    And at most <calls> calls were made for it
+
+    Examples:
+      | trouble | calls |
+      | busy    | 250   |
+      | reset   | 250   |
+      | silent  | 300   |
+
+  Scenario: A follower that reads the store brings its reader up to date
+    Guards against a domain that waits for the turn of each of its nodes.
+    Given a fleet of 100 nodes in 5 domains
+    When the store turns all readers away
+    And a manifest is written
+    Then it is in force on all nodes within 2.5 seconds
+    And at most 250 calls were made for it
+
   Scenario: A change reaches all nodes at once
     Given a fleet of 40 nodes in 4 domains
     When a manifest is written
--- a/tests/steps/packets_explaining.py
+++ b/tests/steps/packets_explaining.py
@@ -18,7 +18,7 @@
 Line = dict[str, Any]
 
 
-def play(context: Context, trouble: str) -> None:
+def play(context: Context, trouble: str, rounds: int = 4) -> None:
     """Play a small day, and keep its output and its logs."""
     folder = Path(tempfile.mkdtemp())
     done = subprocess.run(
@@ -26,7 +26,7 @@
             program('burdocksill-lab'),
             'packets',
             f'--trouble={trouble}',
-            '--rounds=4',
+            f'--rounds={rounds}',
             f'--logs={folder}',
         ],
         capture_output=True,
@@ -73,7 +73,7 @@
 @when('flows are served while a node is killed')
 def play_kill(context: Context) -> None:
     """Play the third story."""
-    play(context, 'kill-node')
+    play(context, 'kill-node', rounds=8)
 
 
 @then('the log of each flow that was reset says "opened" on that upstream')
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -18,8 +18,8 @@
 from burdocksill.readers import changes
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.claims import Claim
-from burdocksill.readers.datagrams import Ask, Signs, Update
-from burdocksill.readers.messages import Reader, ReaderEntry
+from burdocksill.readers.datagrams import Ask, Offer, Signs, Update
+from burdocksill.readers.messages import Reader, ReaderEntry, Sign
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import (
     MOST_SIGNS,
@@ -28,6 +28,8 @@
     decode,
     encode_ask,
     encode_changes,
+    encode_offer,
+    encode_signs,
     encode_update,
 )
 from burdocksill_lab.packets.world import PacketWorld
@@ -53,6 +55,13 @@
         changes=changes,
     )
     empty = Update(token=1, after=5, revision=5, age=0, stable=1.0)
+    offer = Offer(revision=2**64 - 1, age=0.5)
+    signs = Signs(
+        signs=(
+            Sign(echo=2**32 - 1, answered=True, at=-0.25, witness=2**16 - 1),
+            Sign(echo=0, answered=False, at=0.0, witness=1),
+        ),
+    )
     far = Update(
         token=1,
         after=5,
@@ -66,6 +75,8 @@
         (update, decode(encode_update(update, encode_changes(changes)))),
         (empty, decode(encode_update(empty, encode_changes(())))),
         (far, decode(encode_update(far, None))),
+        (offer, decode(encode_offer(offer))),
+        (signs, decode(encode_signs(signs.signs, 0.0), 0.0)),
     ]
 
 
@@ -104,6 +115,8 @@
         elif isinstance(message, Signs):
             assert 0 < len(message.signs) <= MOST_SIGNS
             assert all(sign.at <= 0 for sign in message.signs)
+        elif isinstance(message, Offer):
+            assert message.age >= 0
         else:
             assert message is None or isinstance(message, Ask)
 
@@ -111,7 +124,7 @@
 @then('a datagram that would unpack to 64 MB is refused')
 def check_bomb(context: Context) -> None:
     """Read a small datagram with a huge content."""
-    head = UPDATE.pack(UPDATE_KIND, 1, 5, 7, 0.5, 2.0, True)
+    head = UPDATE.pack(UPDATE_KIND, 1, 5, 7, 0.5, 2.0, 9, True)
     assert decode(head + zlib.compress(bytes(64 << 20))) is None
 
 
--- a/tests/steps/readers_fleet.py
+++ b/tests/steps/readers_fleet.py
@@ -178,6 +178,56 @@
     act(context, step)
 
 
+@when('the store\'s trouble is "{trouble}" for {seconds:d} seconds')
+def trouble_store(context: Context, trouble: str, seconds: int) -> None:
+    """Let the store do nothing for a while."""
+
+    async def step(fleet: SharedFleet) -> None:
+        mark(context.story, fleet)
+        fleet.store.trouble = Trouble(trouble)
+        await fleet.run(seconds)
+        fleet.store.trouble = Trouble.NONE
+
+    act(context, step)
+
+
+@when("the store's open connections fall silent and its history is dropped")
+def mute_store(context: Context) -> None:
+    """Let only new connections carry anything."""
+
+    async def step(fleet: SharedFleet) -> None:
+        mark(context.story, fleet)
+        fleet.store.muted = fleet.store.connections
+        fleet.store.compact()
+
+    act(context, step)
+
+
+@when('{nodes:d} nodes in {domains:d} domains start together')
+def start_together(context: Context, nodes: int, domains: int) -> None:
+    """Start a fleet, and count from before its start."""
+    context.story = Story(nodes, domains)
+
+    async def step(_: SharedFleet) -> None:
+        context.story.calls = 0
+
+    act(context, step)
+
+
+@then('calls worth at most {most:d} were made')
+def check_worth(context: Context, most: int) -> None:
+    """Add up calls; renewals and stale reads cost a tenth."""
+
+    async def step(fleet: SharedFleet) -> None:
+        cheap = sum(
+            'keep' in call or 'Stale' in call for call in fleet.store.calls
+        )
+        worth = len(fleet.store.calls) - cheap * 0.9
+        assert worth <= most, worth
+
+    check(context, step)
+
+
 @when('upstreams change, one goes, and the history is dropped')
 def drop_history(context: Context) -> None:
     """Change the list while no watch hears of it."""
