Serve a domain that was taken out at home while it is cut off from all else

The order binds nodes that the store can reach; a node behind a cut can't know whether it still stands, and its clients have nothing else.

Ruled out: by the age of knowledge, which takes 3 s of the 5 to tell; by the store alone, which may be down while other domains serve; by other domains alone, whose upstreams may have died together.

Change: while a domain is out, all others in use are doubted, and the store gives no answer within 0.35 s on a new connection, new flows stay at home. One of 16 tries the others, and the store is asked again, so that the first answer ends it. A refusal is no silence.

An update between nodes gets a number of its own, so that nodes of another version refuse it instead of misreading it.

--- a/burdocksill/packets/following.py
+++ b/burdocksill/packets/following.py
@@ -15,6 +15,7 @@
 from burdocksill.packets.knowledge import Knowledge
 from burdocksill.packets.learner import Learner
 from burdocksill.packets.settings import PacketSettings
+from burdocksill.packets.store_probe import StoreProbe
 from burdocksill.platform.keys import READERS
 from burdocksill.platform.records import EVERYTHING, read_reader, write_reader
 from burdocksill.platform.store import StorePlatform
@@ -34,6 +35,7 @@
     exchange: PeerExchange
     candidate: Candidate
     platform: StorePlatform
+    probe: StoreProbe
 
 
 @attrs.define(kw_only=True, eq=False, repr=False)
@@ -52,8 +54,10 @@
     @property
     def platforms(self) -> list[StorePlatform]:
         """Return the clients of the store, one for each connection."""
-        shared = [] if self.sharing is None else [self.sharing.platform]
-        return [self.platform, *shared]
+        if self.sharing is None:
+            return [self.platform]
+        probing = self.sharing.probe.platform
+        return [self.platform, self.sharing.platform, probing]
 
     @property
     def calls(self) -> Counter[int]:
@@ -90,6 +94,7 @@
                 nursery.start_soon(self.sharing.exchange.ask)
                 nursery.start_soon(self.sharing.exchange.tell_signs)
                 nursery.start_soon(self.sharing.candidate.run)
+                nursery.start_soon(self.sharing.probe.run)
 
     async def leave(self) -> None:
         """Let another node read for the domain, as this one stops."""
@@ -198,6 +203,13 @@
     )
     directory.placer.outages.on_news = exchange.has_news
     exchange.turn.on_answer = exchange.offer
+    probe = StoreProbe(
+        isolation=directory.placer.isolation,
+        platform=make_platform(settings, around),
+        key=READERS + settings.domain,
+        clock=around.clock,
+    )
+    directory.placer.isolation.on_suspicion = probe.suspect
     return Sharing(
         exchange=exchange,
         candidate=Candidate(
@@ -210,4 +222,5 @@
             turn=exchange.turn,
         ),
         platform=platform,
+        probe=probe,
     )
--- /dev/null
+++ b/burdocksill/packets/isolation.py
@@ -0,0 +1,86 @@
+"""Tell whether a failure domain that was taken out is cut off from all others.
+
+Answers the load of a domain whose upstreams operators have taken out while a
+cut keeps its nodes from those of all other domains: its clients would get
+nothing for as long as the cut lasts. Operators ask for what their store can
+tell a node; one that neither reaches the store nor any other domain serves at
+home, as the last resort that its clients have.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from burdocksill.packets.outages import Outages, nothing
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Final
+
+    from burdocksill.packets.upstreams import Upstreams
+
+# A call that the store did not answer counts for so long; it is made again
+# sooner, for as long as the other domains are doubted.
+SILENT_SECONDS: Final = 1.0
+
+
+class Isolation:
+    """Hold what speaks for a cut around the own failure domain."""
+
+    __slots__ = (
+        'domain',
+        'on_suspicion',
+        'out',
+        'outages',
+        'silent_until',
+        'upstreams',
+    )
+
+    def __init__(
+        self,
+        *,
+        domain: str,
+        out: set[str],
+        upstreams: Upstreams,
+        outages: Outages,
+    ) -> None:
+        """Take all fields; `out` are the domains that were taken out."""
+        self.domain = domain
+        self.out = out
+        self.upstreams = upstreams
+        self.outages = outages
+        # Until when the store counts as out of reach.
+        self.silent_until = float('-inf')
+        # Called while only the store can tell whether this is a cut.
+        self.on_suspicion: Callable[[], None] = nothing
+
+    def holds(self, now: float) -> bool:
+        """Return True when new flows have nowhere to go but home."""
+        if self.domain not in self.out or not self.is_suspected(now):
+            return False
+        self.on_suspicion()
+        return now < self.silent_until
+
+    def is_suspected(self, now: float) -> bool:
+        """Return True when all other domains in use must prove themselves."""
+        others = self.others()
+        return bool(others) and all(
+            self.outages.is_doubted(name, now) for name in others
+        )
+
+    def others(self) -> set[str]:
+        """Return the other domains with upstreams that want new flows."""
+        return {
+            name
+            for domains in self.upstreams.by_service.values()
+            for name, placed in domains.items()
+            if placed and name != self.domain and name not in self.out
+        }
+
+    def store_silent(self, now: float) -> None:
+        """Take note that the store left a call without an answer."""
+        self.silent_until = now + SILENT_SECONDS
+
+    def store_answered(self) -> None:
+        """Take note that the store can be reached."""
+        self.silent_until = float('-inf')
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Container
 from random import Random
 
+from burdocksill.packets.isolation import Isolation
 from burdocksill.packets.messages import Route, Share
 from burdocksill.packets.outages import Outages
 from burdocksill.packets.routing import RoutingTable
@@ -77,6 +78,7 @@
     __slots__ = (
         'budget',
         'domain',
+        'isolation',
         'nodes',
         'out',
         'outages',
@@ -107,6 +109,12 @@
         # How many nodes may send to the same cold upstream.
         self.nodes = nodes
         self.outages: Outages = outages or Outages(upstreams)
+        self.isolation: Isolation = Isolation(
+            domain=domain,
+            out=self.out,
+            upstreams=upstreams,
+            outages=self.outages,
+        )
 
     def place(
         self,
@@ -158,6 +166,11 @@
         looks at the others, of which a large fleet has many.
         """
         worst = DOUBTED if self.tries_doubted(now) else WELL
+        if worst == WELL and self.isolation.holds(now):
+            home = self.home(service, now)
+            chosen = self.first_open(home, urgency, now)
+            if chosen is not None:
+                return chosen
         near = self.place_near(service, urgency, now, avoid, worst)
         if near is not None:
             return near
@@ -168,11 +181,22 @@
         return Reason.NO_UPSTREAM
 
     def tries_doubted(self, now: float) -> bool:
-        """Return True for the few new flows that test a doubted domain."""
-        return (
-            self.outages.is_doubted(self.domain, now)
-            and self.rng.random() < TRIAL_SHARE
-        )
+        """Return True for the few new flows that test a doubted domain.
+
+        A domain that is cut off tests the others.
+        """
+        in_doubt = self.outages.is_doubted(self.domain, now)
+        if not in_doubt and self.domain in self.out:
+            in_doubt = self.isolation.is_suspected(now)
+        return in_doubt and self.rng.random() < TRIAL_SHARE
+
+    def home(self, service: str, now: float) -> list[KnownUpstream]:
+        """Return the own domain's upstreams that nothing speaks against."""
+        return [
+            known
+            for known in self.upstreams.of_domain(service, self.domain, now)
+            if self.rank(known, now, NOTHING_AVOIDED) == WELL
+        ]
 
     def ranked(
         self,
--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -129,10 +129,11 @@
         key: str,
         *,
         stale: bool = False,
+        timeout: float = CALL_TIMEOUT_SECONDS,
     ) -> StoredValue | None:
         """Return one value, or None when the key is absent."""
         target = key_target(key, stale=stale)
-        reply = await self.call('GET', target)
+        reply = await self.call('GET', target, timeout=timeout)
         if reply.status == NOT_FOUND:
             return None
         return decode_item(decode_body(target, reply))
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -12,7 +12,8 @@
 from burdocksill.readers.messages import Sign
 
 ASK_KIND: Final = 1
-UPDATE_KIND: Final = 2
+# 2 stays free: older nodes send another layout under it.
+UPDATE_KIND: Final = 5
 SIGNS_KIND: Final = 3
 OFFER_KIND: Final = 4
 # Kind, token, revision.
--- a/burdocksill_lab/packets/outage.py
+++ b/burdocksill_lab/packets/outage.py
@@ -1,6 +1,6 @@
 """A deployment of which whole failure domains lose their upstreams."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
@@ -10,13 +10,16 @@
 from burdocksill_lab.packets.load import Callers, Served, count_served
 from burdocksill_lab.packets.sharing import SignPeer, share_signs
 from burdocksill_lab.packets.upstream import Condition, LabUpstream
-from burdocksill_lab.packets.world import PacketWorld
+from burdocksill_lab.packets.world import LabNode, PacketWorld
 
 OBJECTIVE_SECONDS: Final = 0.4
 CALM_SECONDS: Final = 3.0
 SETTLE_SECONDS: Final = 4.0
 # Clients that are refused try again at once.
 RETRY_SECONDS: Final = 0.002
+# What a call to the store takes, and when it is given up.
+ANSWER_SECONDS: Final = 0.004
+SILENCE_SECONDS: Final = 0.35
 
 
 class BlindOutages(Outages):
@@ -29,6 +32,32 @@
         return False
 
 
+@attrs.define(kw_only=True)
+class LabStoreProbe:
+    """Ask a store whether it can be reached, for one node."""
+
+    node: LabNode
+    # Tells whether the store answers now.
+    answers: Callable[[], bool]
+    under_way: bool = False
+
+    def suspect(self) -> None:
+        """Ask, unless that is under way."""
+        if not self.under_way:
+            self.under_way = True
+            wait = ANSWER_SECONDS if self.answers() else SILENCE_SECONDS
+            self.node.timeline.after(wait, self.conclude)
+
+    def conclude(self) -> None:
+        """Tell the node what was found."""
+        self.under_way = False
+        isolation = self.node.core.learner.placer.isolation
+        if self.answers():
+            isolation.store_answered()
+        else:
+            isolation.store_silent(self.node.timeline.now)
+
+
 @attrs.define(kw_only=True)
 class OutageDeployment:
     """Hold nodes, upstreams and callers of several failure domains."""
@@ -43,10 +72,14 @@
     sees_outages: bool = True
     # False: each node knows what it saw itself, and no more.
     shares: bool = True
+    # Flows that callers of a domain keep for later calls.
+    kept_flows: int = 10
     callers: list[Callers] = attrs.field(factory=list)
     peers: list[SignPeer] = attrs.field(factory=list)
     failed: list[LabUpstream] = attrs.field(factory=list)
     failed_at: float = 0
+    # False while the store answers nobody.
+    store_answers: bool = True
 
     def build(self) -> None:
         """Start upstreams, nodes and callers, and let them settle."""
@@ -61,6 +94,10 @@
                 node.core.learner.placer.outages = BlindOutages(
                     node.core.learner.upstreams,
                 )
+        for node in self.world.nodes:
+            probe = LabStoreProbe(node=node, answers=self.has_store)
+            isolation = node.core.learner.placer.isolation
+            isolation.on_suspicion = probe.suspect
         if self.shares:
             self.peers = share_signs(self.world)
         for domain in self.names():
@@ -69,6 +106,7 @@
                 domain=domain,
                 rate=self.steady_rate,
                 pause_seconds=RETRY_SECONDS,
+                most_idle=self.kept_flows,
             )
             callers.start()
             self.callers.append(callers)
@@ -78,6 +116,10 @@
         """Return the calls a second of one domain."""
         return self.rate
 
+    def has_store(self) -> bool:
+        """Return True while the store answers."""
+        return self.store_answers
+
     def names(self) -> list[str]:
         """Return the names of the failure domains."""
         return [f'd{number}' for number in range(self.domains)]
@@ -95,6 +137,15 @@
             upstream.restart()
             self.failed.append(upstream)
 
+    def cut(self, domain: str) -> None:
+        """Cut the nodes of a domain off from the upstreams of all others."""
+        self.failed_at = self.world.timeline.now
+        for node in self.world.nodes:
+            for upstream in self.world.upstreams.values():
+                if node.domain == domain and upstream.domain != domain:
+                    ends = (node.address[0], upstream.address[0])
+                    self.world.network.cuts.add(frozenset(ends))
+
     def come_back(self) -> None:
         """Start what has failed anew, as another process."""
         for upstream in self.failed:
