--- a/tests/steps/packets_admission.py
+++ b/tests/steps/packets_admission.py
@@ -242,6 +242,7 @@
                 reads=False,
                 received_bytes=0,
                 cut_short=0,
+                signs={},
             ),
         ).render(world.timeline.now)
         for node in world.nodes
--- a/tests/steps/packets_explaining.py
+++ b/tests/steps/packets_explaining.py
@@ -34,7 +34,7 @@
         check=False,
         timeout=DAY_SECONDS,
     )
-    assert done.returncode == 1, done.stdout + done.stderr
+    assert done.returncode == 1, (done.returncode, done.stdout, done.stderr)
     context.ended_badly = [
         line.partition(': ')[::2]
         for line in done.stdout.splitlines()
