--- a/burdocksill/readers/protocols.py
+++ b/burdocksill/readers/protocols.py
@@ -43,7 +43,7 @@
         """Take note of who reads for a failure domain."""
 
 
-class Signs(Protocol):
+class SignLearner(Protocol):
     """Hold what openings on upstreams met."""
 
     def take_own(self) -> list[Sign]:
--- a/burdocksill/readers/signs.py
+++ b/burdocksill/readers/signs.py
@@ -13,7 +13,7 @@
 from burdocksill.network.addresses import Address
 from burdocksill.network.clock import Clock
 from burdocksill.readers.messages import Reader, Sign
-from burdocksill.readers.protocols import Directory, Sender, Signs
+from burdocksill.readers.protocols import Directory, Sender, SignLearner
 from burdocksill.readers.publisher import Publisher
 from burdocksill.readers.wire import MOST_SIGNS, encode_signs
 
@@ -38,7 +38,7 @@
     itself: Reader
     domain: str
     directory: Directory
-    known: Signs
+    known: SignLearner
     publisher: Publisher
     clock: Clock
     send: Sender
