Weigh reports of missed openings by node, and by what has answered since

Cause: a domain was doubted by three upstreams that openings missed, and by two nodes that said so of any of them: one node that lies and one lost packet of an honest one were enough. A doubted domain was not weighed again while any report came, so that one lie a second kept it doubted for good.

Ruled out: two reporters for each upstream (a liar and a node that is cut off name all of them); a matching of reporters and upstreams (the same result for more code).

Change: what a node missed itself counts whole; the word of another node counts as one upstream in all, spread over those that it names. The domain is weighed with each sign, and trusted again once more than twice as many have answered as are silent, with a line. Signs older than a second no longer count, and an upstream without an entry is no evidence. Renamed: suspected, reporter, also in log lines and metrics.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -127,8 +127,9 @@
             self.counts['send-failed'] += 1
 
     def upkeep(self, now: float) -> None:
-        """Forget what has been idle for too long."""
+        """Forget what has been idle for too long, and suspicions that ended."""
         self.learner.upstreams.forget_old(now)
+        self.learner.placer.outages.review(now)
         manifest = self.learner.table.manifest
         if manifest is not None:
             flows = self.forwarder.flows
--- a/burdocksill/packets/isolation.py
+++ b/burdocksill/packets/isolation.py
@@ -20,7 +20,7 @@
     from burdocksill.packets.upstreams import Upstreams
 
 # A call that the store did not answer counts for so long; it is made again
-# sooner, for as long as the other domains are doubted.
+# sooner, for as long as the other domains are suspected.
 SILENT_SECONDS: Final = 1.0
 
 
@@ -65,7 +65,7 @@
         """Return True when all other domains in use must prove themselves."""
         others = self.others()
         return bool(others) and all(
-            self.outages.is_doubted(name, now) for name in others
+            self.outages.is_suspected(name, now) for name in others
         )
 
     def others(self) -> set[str]:
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -72,8 +72,8 @@
             'upstreams_aside': sum(one.health.is_aside(now) for one in known),
             'flows_seen': len(self.core.forwarder.flows.flows),
             'domains_out': len(learner.placer.out),
-            'domains_doubted': sum(
-                1 for _ in learner.placer.outages.doubted(now)
+            'domains_suspected': sum(
+                1 for _ in learner.placer.outages.suspected(now)
             ),
             'reads_for_domain': int(self.following.reads),
         }
--- a/burdocksill/packets/outages.py
+++ b/burdocksill/packets/outages.py
@@ -12,7 +12,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterator
+from itertools import chain
 
 from burdocksill.observe.early import EarlyLogger
 from burdocksill.packets.upstreams import KnownUpstream, Upstreams
@@ -24,16 +26,19 @@
 
 # Signs older than this tell nothing of what the next opening would meet.
 SIGN_SECONDS: Final = 1.0
-# A domain is doubted when openings on so many of its upstreams were missed and
-# at most this many times as many upstreams have answered since the first.
-DOUBTED_UPSTREAMS: Final = 3
+# A domain is suspected when openings on so many of its upstreams were missed,
+# and at most this many times as many upstreams have answered since the first.
+SUSPECTED_UPSTREAMS: Final = 3
 ANSWERED_FACTOR: Final = 2
-# One node may be cut off itself, or lie: what others say counts from two on.
-FEWEST_WITNESSES: Final = 2
+# One node may be cut off itself, or lie: of an upstream alone, what others
+# report counts from two of them on.
+FEWEST_REPORTERS: Final = 2
 # A domain is trusted again so long after the last missed opening.
-DOUBT_SECONDS: Final = 1.5
-# The witness that stands for this node's own eyes.
+SUSPICION_SECONDS: Final = 1.5
+# The reporter that stands for this node's own eyes.
 OWN: Final = 0
+# Sums of shares are compared with whole numbers.
+SHARE_DIGITS: Final = 6
 
 logger = EarlyLogger(__name__)
 
@@ -51,38 +56,34 @@
         """Begin with nothing seen."""
         self.known = known
         self.answered_at = float('-inf')
-        # When each witness last missed an answer, since the last answer.
+        # When each reporter last missed an answer, since the last answer.
         self.missed: dict[int, float] = {}
 
-    def witnesses(self, now: float) -> set[int]:
-        """Return who missed an answer lately."""
-        return {
-            witness
-            for witness, at in self.missed.items()
-            if now - at <= SIGN_SECONDS
-        }
+    def reporters(self, since: float) -> set[int]:
+        """Return who has missed an answer since a time."""
+        return {reporter for reporter, at in self.missed.items() if at >= since}
 
     def is_old(self, now: float) -> bool:
         """Return True when nothing here counts any more."""
         latest = max(self.missed.values(), default=self.answered_at)
-        return now - max(latest, self.answered_at) > DOUBT_SECONDS
+        return now - max(latest, self.answered_at) > SUSPICION_SECONDS
 
     def is_certain(self, now: float) -> bool:
         """Return True when enough nodes missed an answer."""
-        witnesses = self.witnesses(now)
-        return OWN in witnesses or len(witnesses) >= FEWEST_WITNESSES
+        reporters = self.reporters(now - SIGN_SECONDS)
+        return OWN in reporters or len(reporters) >= FEWEST_REPORTERS
 
 
 class DomainSigns:
     """Hold what openings met in one failure domain."""
 
-    __slots__ = ('doubted_since', 'missed_at', 'signs')
+    __slots__ = ('missed_at', 'signs', 'suspected_since')
 
     def __init__(self) -> None:
         """Begin with a domain that is trusted."""
         self.signs: dict[KnownUpstream, UpstreamSigns] = {}
         # Since when its upstreams must prove themselves; infinite: never.
-        self.doubted_since = float('inf')
+        self.suspected_since = float('inf')
         self.missed_at = float('-inf')
 
     def of(self, known: KnownUpstream) -> UpstreamSigns:
@@ -93,10 +94,15 @@
         """Return True while answers are worth telling."""
         return now - self.missed_at <= SIGN_SECONDS
 
-    def is_doubted(self, now: float) -> bool:
+    def was_suspected(self) -> bool:
+        """Return True until the domain is trusted again."""
+        return self.suspected_since != float('inf')
+
+    def is_suspected(self, now: float) -> bool:
         """Return True while its upstreams must prove themselves."""
         return (
-            self.doubted_since <= now and now - self.missed_at <= DOUBT_SECONDS
+            self.suspected_since <= now
+            and now - self.missed_at <= SUSPICION_SECONDS
         )
 
     def forget_old(self, now: float) -> None:
@@ -105,59 +111,90 @@
             if signs.is_old(now):
                 del self.signs[known]
 
-    def weigh(self, now: float) -> Weighed:
-        """Count what speaks against the domain, and for it."""
-        missed = [one for one in self.signs.values() if one.witnesses(now)]
-        since = min(
-            (at for upstream in missed for at in upstream.missed.values()),
-            default=now,
+    def weigh_lately(self, now: float) -> Weighed:
+        """Count what speaks against the domain now, and for it since."""
+        begin = now - SIGN_SECONDS
+        times = (
+            at
+            for signs in self.signs.values()
+            for at in signs.missed.values()
+            if at >= begin
         )
+        return self.weigh(begin, min(times, default=now))
+
+    def weigh_suspicion(self) -> Weighed:
+        """Count what speaks against the domain since it is suspected."""
+        return self.weigh(self.suspected_since, self.suspected_since)
+
+    def weigh(self, begin: float, since: float) -> Weighed:
+        """Count misses from a time on, and answers from another."""
+        missed = [
+            (signs.known, reporters)
+            for signs in self.signs.values()
+            if signs.known.is_listed and (reporters := signs.reporters(begin))
+        ]
         return Weighed(
-            missed=len(missed),
-            own=sum(OWN in upstream.missed for upstream in missed),
+            missed=tuple(reporters for _, reporters in missed),
             answered=sum(
-                upstream.answered_at >= since
-                for upstream in self.signs.values()
-            ),
-            witnesses=len(
-                {name for upstream in missed for name in upstream.missed},
+                signs.answered_at >= since for signs in self.signs.values()
             ),
             since=since,
         )
 
 
 class Weighed:
-    """Hold the counts by which a domain is doubted."""
+    """Hold the counts by which a domain is suspected."""
 
-    __slots__ = ('answered', 'missed', 'own', 'since', 'witnesses')
+    __slots__ = ('answered', 'missed', 'since')
 
     def __init__(
         self,
         *,
-        missed: int,
-        own: int,
+        missed: tuple[set[int], ...],
         answered: int,
-        witnesses: int,
         since: float,
     ) -> None:
         """Take all fields."""
-        # Upstreams without an answer, to anyone and to this node.
+        # The reporters of each upstream without an answer.
         self.missed = missed
-        self.own = own
-        # Upstreams that have answered since the first missed opening.
+        # Upstreams that have answered since then.
         self.answered = answered
-        self.witnesses = witnesses
         self.since = since
 
+    @property
+    def own(self) -> int:
+        """Return how many upstreams this node itself had no answer of."""
+        return sum(OWN in reporters for reporters in self.missed)
+
+    @property
+    def reporters(self) -> int:
+        """Return how many nodes missed an answer."""
+        return len(set().union(*self.missed))
+
+    @property
+    def evidence(self) -> float:
+        """Return how many upstreams count as silent.
+
+        One that this node missed counts whole. The word of another node is
+        one in all, spread over the upstreams that it names: however many a
+        node names that lies or is cut off, it weighs as one upstream.
+        """
+        named = Counter(chain.from_iterable(self.missed))
+        shares = [
+            1 if OWN in reporters else sum(1 / named[one] for one in reporters)
+            for reporters in self.missed
+        ]
+        return round(sum(min(1, share) for share in shares), SHARE_DIGITS)
+
     @property
     def speaks_against(self) -> bool:
         """Return True when the domain itself seems to have failed."""
-        if self.missed < DOUBTED_UPSTREAMS:
-            return False
-        certain = (
-            self.own >= DOUBTED_UPSTREAMS or self.witnesses >= FEWEST_WITNESSES
-        )
-        return certain and self.answered <= self.missed * ANSWERED_FACTOR
+        return self.evidence >= SUSPECTED_UPSTREAMS and self.outweighs
+
+    @property
+    def outweighs(self) -> bool:
+        """Return True when few answered beside those that are silent."""
+        return self.answered <= self.evidence * ANSWERED_FACTOR
 
 
 class Outages:
@@ -184,12 +221,12 @@
         domain = self.domains.get(known.record.domain)
         if domain is None or not domain.is_watched(now):
             return
-        if self.note_answered(domain, known, now):
+        if self.note_answered(domain, known, now, now):
             self.tell(known, now, answered=True)
 
     def tell(self, known: KnownUpstream, at: float, *, answered: bool) -> None:
         """Let other nodes hear of an own sign."""
-        sign = Sign(echo=known.echo, answered=answered, at=at, witness=OWN)
+        sign = Sign(echo=known.echo, answered=answered, at=at, reporter=OWN)
         self.own.append(sign)
         self.on_news()
 
@@ -205,14 +242,14 @@
         if known is None or not 0 <= now - sign.at <= SIGN_SECONDS:
             return False
         if not sign.answered:
-            return self.note_missed(known, sign.witness, sign.at, now)
+            return self.note_missed(known, sign.reporter, sign.at, now)
         domain = self.domains.setdefault(known.record.domain, DomainSigns())
-        return self.note_answered(domain, known, sign.at)
+        return self.note_answered(domain, known, sign.at, now)
 
     def note_missed(
         self,
         known: KnownUpstream,
-        witness: int,
+        reporter: int,
         at: float,
         now: float,
     ) -> bool:
@@ -221,10 +258,12 @@
         signs = domain.of(known)
         if signs.answered_at > at:
             return False
-        news = len(signs.witnesses(now) - {witness}) < FEWEST_WITNESSES
-        signs.missed[witness] = at
+        others = signs.reporters(now - SIGN_SECONDS) - {reporter}
+        news = len(others) < FEWEST_REPORTERS
+        signs.missed[reporter] = at
         domain.missed_at = max(domain.missed_at, at)
-        if not domain.is_doubted(now):
+        self.review_domain(known.record.domain, domain, now)
+        if not domain.was_suspected():
             self.consider(known.record.domain, domain, now)
         return news
 
@@ -233,6 +272,7 @@
         domain: DomainSigns,
         known: KnownUpstream,
         at: float,
+        now: float,
     ) -> bool:
         """Count an answer; return False where one is known already."""
         signs = domain.of(known)
@@ -241,54 +281,84 @@
             return False
         signs.missed.clear()
         signs.answered_at = max(signs.answered_at, at)
+        self.review_domain(known.record.domain, domain, now)
         return news
 
     def consider(self, name: str, domain: DomainSigns, now: float) -> None:
-        """Doubt a domain if enough of its upstreams are silent."""
+        """Suspect a domain if enough of its upstreams are silent."""
         domain.forget_old(now)
-        domain.doubted_since = float('inf')
-        weighed = domain.weigh(now)
-        if not weighed.speaks_against:
+        weighed = domain.weigh_lately(now)
+        if weighed.speaks_against:
+            domain.suspected_since = weighed.since
+            self.write_down('domain suspected', name, weighed, now)
+
+    def review(self, now: float) -> None:
+        """Trust the domains that nothing speaks against any more."""
+        for name, domain in self.domains.items():
+            self.review_domain(name, domain, now)
+
+    def review_domain(
+        self,
+        name: str,
+        domain: DomainSigns,
+        now: float,
+    ) -> None:
+        """Trust a suspected domain that has answered, or has time to."""
+        if not domain.was_suspected():
             return
-        domain.doubted_since = weighed.since
+        weighed = domain.weigh_suspicion()
+        if not domain.is_suspected(now) or not weighed.outweighs:
+            domain.suspected_since = float('inf')
+            self.write_down('domain trusted', name, weighed, now)
+
+    def write_down(
+        self,
+        message: str,
+        name: str,
+        weighed: Weighed,
+        now: float,
+    ) -> None:
+        """Write down what a domain is taken for, with the counts."""
         logger.warning(
-            'domain doubted',
+            message,
             extra={
                 'domain': name,
-                'missed': weighed.missed,
+                'missed': len(weighed.missed),
+                'evidence': weighed.evidence,
                 'answered': weighed.answered,
-                'witnesses': weighed.witnesses,
+                'reporters': weighed.reporters,
                 'own': weighed.own,
                 'since_s': round(now - weighed.since, 3),
             },
         )
 
-    def is_doubted(self, name: str, now: float) -> bool:
+    def is_suspected(self, name: str, now: float) -> bool:
         """Return True while a domain's upstreams must prove themselves."""
         domain = self.domains.get(name)
-        return domain is not None and domain.is_doubted(now)
+        return domain is not None and domain.is_suspected(now)
 
-    def doubted(self, now: float) -> Iterator[str]:
+    def suspected(self, now: float) -> Iterator[str]:
         """Return the domains whose upstreams must prove themselves."""
         for name in self.domains:
-            if self.is_doubted(name, now):
+            if self.is_suspected(name, now):
                 yield name
 
-    def doubts(self, known: KnownUpstream, now: float) -> bool:
+    def suspects(self, known: KnownUpstream, now: float) -> bool:
         """Return True when a new flow on an upstream may meet nobody.
 
         One that has started since the trouble began is another process, of
         which the signs say nothing.
         """
         domain = self.domains.get(known.record.domain)
-        if domain is None or now - domain.missed_at > DOUBT_SECONDS:
+        if domain is None or now - domain.missed_at > SUSPICION_SECONDS:
             return False
         signs = domain.signs.get(known)
         if signs is not None and signs.is_certain(now):
             return True
-        if not domain.is_doubted(now) or known.since > domain.doubted_since:
+        since = domain.suspected_since
+        if not domain.is_suspected(now) or known.since > since:
             return False
         answered_at = known.health.heard_at
         if signs is not None:
             answered_at = max(answered_at, signs.answered_at)
-        return answered_at < domain.doubted_since
+        return answered_at < since
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -37,12 +37,12 @@
 # Ranks of candidates: a lower one is taken whenever there is any.
 WELL: Final = 0
 # Its domain has lost many upstreams, and it has not answered since.
-DOUBTED: Final = 1
+SUSPECTED: Final = 1
 ASIDE: Final = 2
 LAPSED: Final = 3
 RANKS: Final = 4
-# The part of the new flows that a doubted domain gets as a trial: what is back
-# is found by one of them, and the rest reach an upstream that answers.
+# The part of the new flows that a suspected domain gets as a trial: what is
+# back is found by one of them, and the rest reach an upstream that answers.
 TRIAL_SHARE: Final = 1 / 16
 NOTHING_AVOIDED: Final[frozenset[str]] = frozenset()
 
@@ -165,7 +165,7 @@
         Mostly the own failure domain has one that is well, and then nobody
         looks at the others, of which a large fleet has many.
         """
-        worst = DOUBTED if self.tries_doubted(now) else WELL
+        worst = SUSPECTED if self.tries_suspected(now) else WELL
         if worst == WELL and self.isolation.holds(now):
             home = self.home(service, now)
             chosen = self.first_open(home, urgency, now)
@@ -180,15 +180,15 @@
                 return chosen
         return Reason.NO_UPSTREAM
 
-    def tries_doubted(self, now: float) -> bool:
-        """Return True for the few new flows that test a doubted domain.
+    def tries_suspected(self, now: float) -> bool:
+        """Return True for the few new flows that test a suspected domain.
 
         A domain that is cut off tests the others.
         """
-        in_doubt = self.outages.is_doubted(self.domain, now)
-        if not in_doubt and self.domain in self.out:
-            in_doubt = self.isolation.is_suspected(now)
-        return in_doubt and self.rng.random() < TRIAL_SHARE
+        in_trial = self.outages.is_suspected(self.domain, now)
+        if not in_trial and self.domain in self.out:
+            in_trial = self.isolation.is_suspected(now)
+        return in_trial and self.rng.random() < TRIAL_SHARE
 
     def home(self, service: str, now: float) -> list[KnownUpstream]:
         """Return the own domain's upstreams that nothing speaks against."""
@@ -265,7 +265,7 @@
             return LAPSED
         if known.record.name in avoid or known.health.is_aside(now):
             return ASIDE
-        return DOUBTED if self.outages.doubts(known, now) else WELL
+        return SUSPECTED if self.outages.suspects(known, now) else WELL
 
     def by_preference(
         self,
--- a/burdocksill/packets/store_probe.py
+++ b/burdocksill/packets/store_probe.py
@@ -70,5 +70,5 @@
         self.line.enter(
             state,
             domain=self.isolation.domain,
-            doubted=domains,
+            suspected=domains,
         )
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -67,6 +67,11 @@
         # All upstreams of its service.
         self.pool = pool
 
+    @property
+    def is_listed(self) -> bool:
+        """Return True while its entry stands."""
+        return not self.absent_since
+
     def presence(self, now: float, stable_since: float) -> Presence:
         """Tell whether it is gone; before a stable time nobody can know."""
         if not self.absent_since:
--- a/burdocksill/readers/messages.py
+++ b/burdocksill/readers/messages.py
@@ -49,7 +49,7 @@
     `at` is the steady time of the node that holds the sign.
     """
 
-    __slots__ = ('answered', 'at', 'echo', 'witness')
+    __slots__ = ('answered', 'at', 'echo', 'reporter')
 
     def __init__(
         self,
@@ -57,20 +57,20 @@
         echo: int,
         answered: bool,
         at: float,
-        witness: int,
+        reporter: int,
     ) -> None:
         """Take all fields."""
         self.echo = echo
         self.answered = answered
         self.at = at
         # Tells the nodes that saw something apart; 0 for this node itself.
-        self.witness = witness
+        self.reporter = reporter
 
-    def seen_by(self, witness: int) -> Sign:
-        """Return the same sign under another witness."""
+    def seen_by(self, reporter: int) -> Sign:
+        """Return the same sign under another reporter."""
         return Sign(
             echo=self.echo,
             answered=self.answered,
             at=self.at,
-            witness=witness,
+            reporter=reporter,
         )
--- a/burdocksill/readers/signs.py
+++ b/burdocksill/readers/signs.py
@@ -22,13 +22,13 @@
 # No node is told more at once, however many signs there are: what is left out
 # is seen again, or its flows are placed as without any signs.
 MOST_WAITING: Final = 2 * MOST_SIGNS
-# A witness is named by 16 bits, none of which stand for the receiver itself.
-MOST_WITNESSES: Final = (1 << 16) - 1
+# A reporter is named by 16 bits, none of which stand for the receiver itself.
+MOST_REPORTERES: Final = (1 << 16) - 1
 
 
-def witness_of(address: Address) -> int:
+def reporter_of(address: Address) -> int:
     """Return the number that tells a node's signs from those of others."""
-    return zlib.crc32(str(address).encode()) % MOST_WITNESSES + 1
+    return zlib.crc32(str(address).encode()) % MOST_REPORTERES + 1
 
 
 @attrs.define(kw_only=True, eq=False, repr=False)
@@ -64,7 +64,7 @@
         now = self.clock()
         if self.reads:
             if sender in self.publisher.subscribers:
-                self.take_reports(signs, witness_of(sender), now)
+                self.take_reports(signs, reporter_of(sender), now)
         elif self.reader is not None and sender == self.reader.address:
             for sign in signs:
                 self.known.learn(sign, now)
@@ -72,12 +72,12 @@
     def take_reports(
         self,
         signs: Sequence[Sign],
-        witness: int,
+        reporter: int,
         now: float,
     ) -> None:
         """Learn what one node saw, and keep what is news for the others."""
         for sign in signs:
-            report = sign.seen_by(witness)
+            report = sign.seen_by(reporter)
             if self.known.learn(report, now):
                 self.waiting.append(report)
 
@@ -85,8 +85,8 @@
         """Send all that is news to whom it is for."""
         own = self.known.take_own()
         if self.reads:
-            witness = witness_of(self.itself.address)
-            self.waiting.extend(sign.seen_by(witness) for sign in own)
+            reporter = reporter_of(self.itself.address)
+            self.waiting.extend(sign.seen_by(reporter) for sign in own)
             self.tell_nodes()
         elif own and self.reader is not None:
             self.send_signs(own, self.reader.address)
@@ -95,11 +95,11 @@
         """Pass signs on to the nodes that follow, but to who saw them."""
         signs = self.waiting[-MOST_WAITING:]
         self.waiting = []
-        witnesses = {sign.witness for sign in signs}
+        reporteres = {sign.reporter for sign in signs}
         for address in self.publisher.subscribers:
-            seen_there = witness_of(address)
-            if seen_there in witnesses:
-                others = [sign for sign in signs if sign.witness != seen_there]
+            seen_there = reporter_of(address)
+            if seen_there in reporteres:
+                others = [sign for sign in signs if sign.reporter != seen_there]
                 self.send_signs(others, address)
             else:
                 self.send_signs(signs, address)
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -25,7 +25,7 @@
 OFFER: Final = struct.Struct('>BQf')
 # Revision, whether the key was removed, length of key and value.
 CHANGE: Final = struct.Struct('>Q?HI')
-# Echo, witness, age in milliseconds, whether it answered.
+# Echo, reporter, age in milliseconds, whether it answered.
 SIGN: Final = struct.Struct('>IHH?')
 # What one datagram carries without being split on its way.
 MOST_SIGNS: Final = 128
@@ -92,7 +92,7 @@
         age = round((now - sign.at) * MILLISECONDS)
         bounded = min(max(age, 0), OLDEST_SIGN_MS)
         parts.append(
-            SIGN.pack(sign.echo, sign.witness, bounded, sign.answered),
+            SIGN.pack(sign.echo, sign.reporter, bounded, sign.answered),
         )
     return b''.join(parts)
 
@@ -106,11 +106,11 @@
         signs=tuple(
             Sign(
                 echo=echo,
-                witness=witness,
+                reporter=reporter,
                 at=now - age / MILLISECONDS,
                 answered=answered,
             )
-            for echo, witness, age, answered in SIGN.iter_unpack(body)
+            for echo, reporter, age, answered in SIGN.iter_unpack(body)
         ),
     )
 
--- a/burdocksill_lab/packets/network.py
+++ b/burdocksill_lab/packets/network.py
@@ -57,6 +57,23 @@
         self.now = until
 
 
+@attrs.define(kw_only=True)
+class AheadTimeline:
+    """Run callbacks at the right times under a clock that is ahead."""
+
+    timeline: Timeline
+    ahead_seconds: float
+
+    @property
+    def now(self) -> float:
+        """Return steady seconds."""
+        return self.timeline.now + self.ahead_seconds
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action some seconds from now."""
+        self.timeline.after(seconds, action)
+
+
 @attrs.define(kw_only=True)
 class DatagramNetwork:
     """Carry datagrams to whoever holds an address; cuts drop them."""
@@ -65,10 +82,12 @@
     receivers: dict[Address, Receiver] = attrs.field(factory=dict)
     # Pairs of hosts that don't reach each other.
     cuts: set[frozenset[str]] = attrs.field(factory=set)
+    # Tells for each datagram whether it is lost on its way.
+    loses: Callable[[], bool] = bool
 
     def send(self, payload: bytes, source: Address, target: Address) -> None:
         """Deliver a datagram after the delay, if anything is there."""
-        if frozenset((source[0], target[0])) in self.cuts:
+        if frozenset((source[0], target[0])) in self.cuts or self.loses():
             return
         self.timeline.after(
             DELAY_SECONDS,
--- a/burdocksill_lab/packets/outage.py
+++ b/burdocksill_lab/packets/outage.py
@@ -27,7 +27,7 @@
 
     __slots__ = ()
 
-    def doubts(self, *_: object) -> bool:
+    def suspects(self, *_: object) -> bool:
         """Return that nothing speaks against any upstream."""
         return False
 
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -26,6 +26,7 @@
     Address,
     DatagramNetwork,
     MemorySocket,
+    Timeline,
     VirtualTimeline,
 )
 from burdocksill_lab.packets.upstream import LabUpstream, names
@@ -61,7 +62,7 @@
     domain: str
     address: Address
     core: PacketCore
-    timeline: VirtualTimeline
+    timeline: Timeline
     alive: bool = True
     # A node that is cut off from the store hears no changes.
     follows: bool = True
--- a/tests/steps/packets_outages.py
+++ b/tests/steps/packets_outages.py
@@ -118,7 +118,7 @@
                     echo=one.tag & 0xFFFFFFFF,
                     answered=False,
                     at=now,
-                    witness=number,
+                    reporter=number,
                 )
                 for number, one in enumerate(first(context))
             ],
@@ -208,24 +208,24 @@
     assert sum(opened) / len(opened) >= least, sum(opened) / len(opened)
 
 
-@then('no node doubts a domain')
-def check_no_doubt(context: Context) -> None:
+@then('no node suspects a domain')
+def check_no_suspicion(context: Context) -> None:
     """Ask all nodes."""
-    check_no_other_doubts(context)
+    check_no_other_suspects(context)
 
 
-@then('no other node doubts a domain')
-def check_no_other_doubts(context: Context) -> None:
+@then('no other node suspects a domain')
+def check_no_other_suspects(context: Context) -> None:
     """Ask all nodes but the one that is cut off."""
     world = context.deployment.world
     cut = getattr(context, 'cut', None)
-    doubting = [
+    suspecting = [
         node.name
         for node in world.nodes
         if node is not cut
-        and any(node.core.learner.placer.outages.doubted(world.timeline.now))
+        and any(node.core.learner.placer.outages.suspected(world.timeline.now))
     ]
-    assert not doubting, doubting
+    assert not suspecting, suspecting
 
 
 def resets_elsewhere(context: Context) -> int:
@@ -268,7 +268,7 @@
 
 
 @then(
-    'lines tell of missed openings, and of the doubted domain with its counts',
+    'lines tell of missed openings, and of the suspected domain',
 )
 def check_lines(context: Context) -> None:
     """Look for both."""
@@ -277,12 +277,12 @@
         for line in context.lines
         if line['message'] == Reason.OPENING_MISSED.value
     ]
-    doubted = [
-        line for line in context.lines if line['message'] == 'domain doubted'
+    suspected = [
+        line for line in context.lines if line['message'] == 'domain suspected'
     ]
     assert missed
     assert all(line['domain'] == 'd0' for line in missed)
-    assert doubted
-    for line in doubted:
+    assert suspected
+    for line in suspected:
         assert line['domain'] == 'd0'
         assert line['missed'] > line['answered']
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -58,8 +58,8 @@
     offer = Offer(revision=2**64 - 1, age=0.5)
     signs = Signs(
         signs=(
-            Sign(echo=2**32 - 1, answered=True, at=-0.25, witness=2**16 - 1),
-            Sign(echo=0, answered=False, at=0.0, witness=1),
+            Sign(echo=2**32 - 1, answered=True, at=-0.25, reporter=2**16 - 1),
+            Sign(echo=0, answered=False, at=0.0, reporter=1),
         ),
     )
     far = Update(
