Let a node that just started take a reader's word on the store's past

Cause: a node ends a flow that names no upstream it knows once the store has been seen to work for 2.4 s. One that just started counted from its own start, also when readers of other domains answered it 40 ms later and knew of 25 calm seconds.

Change: the first word of another node counts alone, as the node's own start says nothing of the time before. From then on, and after trouble of its own, the later of two times counts, as before.

--- a/burdocksill/packets/knowledge.py
+++ b/burdocksill/packets/knowledge.py
@@ -121,15 +121,9 @@
         age: float,
         stable: float,
     ) -> None:
-        """Take in changes that another node has told.
-
-        Of two times since which the store is said to be fine the later counts:
-        who saw no trouble may have had no call under way.
-        """
+        """Take in changes that another node has told."""
         if stable >= 0:
-            upstreams = self.learner.upstreams
-            since = self.clock() - stable
-            upstreams.stable_since = max(upstreams.stable_since, since)
+            self.learner.hear_stable(self.clock() - stable)
         self.take_newer(found, self.progress.now() - age)
 
     def take_newer(self, found: Snapshot, current_at: float) -> None:
--- a/burdocksill/packets/learner.py
+++ b/burdocksill/packets/learner.py
@@ -28,7 +28,14 @@
 class Learner:
     """Put what was read into the routes, the domains and the upstreams."""
 
-    __slots__ = ('decode', 'placer', 'readers', 'table', 'upstreams')
+    __slots__ = (
+        'decode',
+        'heard_stable',
+        'placer',
+        'readers',
+        'table',
+        'upstreams',
+    )
 
     def __init__(
         self,
@@ -45,6 +52,9 @@
         self.decode = decode
         # Who reads the store for which failure domain.
         self.readers: dict[str, ReaderEntry] = {}
+        # True once the time since which the store counts as fine is more than
+        # that of this node's start.
+        self.heard_stable = False
 
     def learn_values(self, found: Snapshot, now: float) -> None:
         """Take in changes, in their order."""
@@ -56,6 +66,17 @@
         if not self.upstreams.stable_since:
             self.upstreams.stable_since = now
 
+    def hear_stable(self, since: float) -> None:
+        """Take another node's word since when the store is fine.
+
+        What this node itself has counted from its start says nothing of the
+        time before, so the first word counts alone. Then the later of two
+        times counts: who saw no trouble may have had no call under way.
+        """
+        known = self.upstreams.stable_since if self.heard_stable else 0
+        self.upstreams.stable_since = max(known, since)
+        self.heard_stable = True
+
     def learn(self, news: News, now: float) -> None:
         """Take in one change."""
         match news:
@@ -136,6 +157,7 @@
         Routes stay in force; their age tells that they may be old.
         """
         self.upstreams.stable_since = 0
+        self.heard_stable = True
 
     def read(self, found: Snapshot) -> list[News]:
         """Decode values; one that can't be read changes nothing."""
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -43,6 +43,19 @@
     When an update tells that the store has been fine for 1.0 seconds
     Then the node counts absences from 1.0 seconds ago
 
+  Scenario: A node that has just started knows of the time before from a reader
+    Guards against clients that wait until a node has itself seen the store work.
+    Given a node that knows revision 20 and has asked for changes
+    When an update tells that the store has been fine for 30.0 seconds
+    Then the node counts absences from 30.0 seconds ago
+
+  Scenario: A reader's later trouble counts against an earlier word
+    Guards against entries that are taken for gone when the store lost them.
+    Given a node that knows revision 20 and has asked for changes
+    When an update tells that the store has been fine for 30.0 seconds
+    And an update tells that the store has been fine for 1.0 seconds
+    Then the node counts absences from 1.0 seconds ago
+
   Scenario: A slow machine offers itself later than a quick one
     # The domain's reader answers all of its nodes.
     When 200 nodes of 2.0 and 200 of 0.2 cores miss a reader
