End the flows on upstreams that the store told are lost

Cause: a domain that loses power leaves clients with open flows on dead upstreams. Their packets reach nodes of other domains, each of which sees few flows of an upstream and too few repeats to take it for dark; a vanished entry was waited for for 2.4 s more, as if the store could have lost it, and then until the client sent again, which it does after 1.6 s. An upstream in whose place another process had registered was held for alive until its old entry lapsed.

Ruled out: a domain taken for dark by what a node sees itself (a node that sees two dead upstreams of ten would end flows on the eight others); to go by births alone (they come from clocks of different machines).

Change: packets/losses.py decides. An entry that vanished while the store had worked for 3 s was not lost by the store: with a client that waits for four times an answer that need not queue, the upstream's flows are ended, also at the moment of the news. A later process at its address or under its name, with a later start, ends them at once.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -90,12 +90,16 @@
 
     def overlook(self, now: float) -> None:
         """Conclude from openings that nothing has followed, and count them."""
+        self.forwarder.end_lost(now)
+        self.send_due()
         missed = self.forwarder.overlook(now)
         if missed:
             self.counts[Reason.OPENING_MISSED.value] += missed
 
     def quiet_for(self, now: float) -> float:
-        """Return the seconds until an opening is missed unless packets come."""
+        """Return the seconds until there is something to conclude."""
+        if self.learner.upstreams.ended or self.learner.upstreams.lapsed:
+            return 0
         return max(0, self.forwarder.openings.next_due() - now)
 
     def is_behind(self, now: float) -> bool:
@@ -114,6 +118,10 @@
             self.counts[verdict.reason.value] += 1
             return
         self.send(verdict)
+        self.send_due()
+
+    def send_due(self) -> None:
+        """Send the resets that a decision on others brought about."""
         while self.forwarder.due:
             self.send(self.forwarder.due.pop())
 
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -146,6 +146,15 @@
             key for key, flow in self.flows.items() if flow.upstream is upstream
         ]
 
+    def waits_since(self, upstream: KnownUpstream, begin: float) -> bool:
+        """Return True when a client has waited for one alone since a time."""
+        heard_at = upstream.health.heard_at
+        return any(
+            heard_at < flow.waiting_since <= begin
+            for flow in self.flows.values()
+            if flow.upstream is upstream
+        )
+
     def idle(self, before: float) -> Iterator[FlowKey]:
         """Return the flows that were last seen before a time."""
         for key, flow in self.flows.items():
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -18,13 +18,13 @@
     reset_of,
     with_echo,
 )
+from burdocksill.packets.losses import Losses
 from burdocksill.packets.openings import Openings
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.upstreams import (
     ABSENT_SECONDS,
     KnownUpstream,
-    Presence,
     Upstreams,
 )
 from burdocksill.packets.verdicts import Drop, Forward, Reason, Reset, Verdict
@@ -58,6 +58,7 @@
         'freshness',
         'latest',
         'log',
+        'losses',
         'openings',
         'placer',
         'refused_for_load',
@@ -92,6 +93,7 @@
         # The latest opening of each client towards each route.
         self.latest: dict[tuple[int, int, int], FlowKey] = {}
         self.openings: Openings = Openings()
+        self.losses: Losses = Losses(upstreams=upstreams, flows=flows)
         # Echoes of no known upstream, with the time when they were first seen.
         self.unknown: dict[int, float] = {}
 
@@ -158,6 +160,11 @@
             upstream.health.missed(now, seen.seen_at)
         return frozenset((upstream.record.name,))
 
+    def end_lost(self, now: float) -> None:
+        """End the flows on upstreams that the store told are lost."""
+        for upstream, reason in self.losses.take_news(now):
+            self.reset_all(upstream, reason)
+
     def overlook(self, now: float) -> int:
         """Draw conclusions from openings that nothing has followed; count them.
 
@@ -229,7 +236,7 @@
         self.flows.follow(packet, flow, now)
         if upstream.health.heard_at == now:
             self.placer.outages.answered(upstream, now)
-        lost = self.lost(upstream, now)
+        lost = self.losses.of(upstream, now)
         if lost is not None:
             self.reset_others(packet.flow, upstream, lost)
             return self.reset(packet, lost, upstream)
@@ -253,23 +260,6 @@
             return self.reset(packet, Reason.UNKNOWN_ECHO)
         return Drop(Reason.UNKNOWN_ECHO)
 
-    def lost(self, upstream: KnownUpstream, now: float) -> Reason | None:
-        """Return why flows on an upstream are lost, None while they may live.
-
-        Either clients' packets show that it answers nobody, or its entry is
-        still missing where it would be back, and one client misses it too.
-        """
-        health = upstream.health
-        if health.is_dark(now):
-            # Once its flows are ended nothing else would tell that it is
-            # silent, and with no flow left it would seem the least loaded.
-            health.put_aside(now)
-            return Reason.UPSTREAM_DARK
-        gone = self.upstreams.presence(upstream, now) is Presence.GONE
-        if gone and health.silent:
-            return Reason.UPSTREAM_GONE
-        return None
-
     def reset_others(
         self,
         sender: FlowKey,
@@ -281,8 +271,19 @@
         A request that is sent on a lost flow fails, and one that is not
         idempotent isn't tried again; an idle client opens a new flow for it.
         """
+        self.reset_all(upstream, reason, spared=sender)
+
+    def reset_all(
+        self,
+        upstream: KnownUpstream,
+        reason: Reason,
+        spared: FlowKey | None = None,
+    ) -> None:
+        """End the flows on an upstream but one."""
+        if not upstream.flows:
+            return
         for key in self.flows.on(upstream):
-            if key != sender:
+            if key != spared:
                 ack = self.flows.flows[key].ack
                 self.due.append(self.reset_flow(key, ack, reason, upstream))
 
--- a/burdocksill/packets/health.py
+++ b/burdocksill/packets/health.py
@@ -50,6 +50,9 @@
 STEP_DOWN: Final = 1 / 1.08
 UNKNOWN_ANSWER_SECONDS: Final = float('inf')
 SILENT_KEPT: Final = 16
+# An upstream whose entry vanished is lost when a client has waited for so many
+# times the answer that need not queue, or has sent twice again.
+LAPSED_ANSWERS: Final = 4.0
 
 
 class SilentFlow:
@@ -141,6 +144,17 @@
         """Return True while it should get no new flow if others can."""
         return now < self.aside_until or len(self.silent) >= PAIR_FLOWS
 
+    def keeps_waiting(self, now: float, usual: float) -> bool:
+        """Return True when a client waits for longer than answers take.
+
+        `usual` are the seconds of an answer that need not queue, 0 if unknown.
+        """
+        longest = usual * LAPSED_ANSWERS or float('inf')
+        return any(
+            flow.repeats >= REPEATS_WITHOUT_DOUBT or now - flow.since >= longest
+            for flow in self.silent.values()
+        )
+
     def is_lost(self, flow: tuple[int, ...]) -> bool:
         """Return True when one flow alone can't be alive any more."""
         known = self.silent.get(flow)
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -18,6 +18,9 @@
 ABSENT_SECONDS: Final = 2.4
 # Flows may outlive their upstream's entry by the longest life of a flow.
 FORGET_SECONDS: Final = 90.0
+# An entry lapses after at most so long without a word of its upstream. Where
+# the store has worked for longer, it is the upstream that fell silent.
+LEASE_SECONDS: Final = 3.0
 ECHO_MASK: Final = (1 << 32) - 1
 
 
@@ -36,6 +39,7 @@
     __slots__ = (
         'absent_since',
         'echo',
+        'ended',
         'flows',
         'health',
         'pool',
@@ -60,6 +64,8 @@
         self.warm_at: float = 0
         # When its entry vanished; 0 while it is there.
         self.absent_since: float = 0
+        # True once another process is known to run in its place.
+        self.ended = False
         self.flows: int = 0
         # Those of them whose client waits for an answer.
         self.waiting: int = 0
@@ -69,8 +75,8 @@
 
     @property
     def is_listed(self) -> bool:
-        """Return True while its entry stands."""
-        return not self.absent_since
+        """Return True while its entry stands and no other replaces it."""
+        return not self.absent_since and not self.ended
 
     def presence(self, now: float, stable_since: float) -> Presence:
         """Tell whether it is gone; before a stable time nobody can know."""
@@ -114,12 +120,27 @@
 class Upstreams:
     """Find upstreams by service for new flows, by echo for open ones."""
 
-    __slots__ = ('by_echo', 'by_name', 'by_service', 'pools', 'stable_since')
+    __slots__ = (
+        'by_address',
+        'by_echo',
+        'by_name',
+        'by_service',
+        'ended',
+        'lapsed',
+        'pools',
+        'stable_since',
+    )
 
     def __init__(self) -> None:
         """Begin with nothing known."""
         self.by_name: dict[str, KnownUpstream] = {}
         self.by_echo: dict[int, KnownUpstream] = {}
+        # The process that started last behind each address.
+        self.by_address: dict[tuple[str, int], KnownUpstream] = {}
+        # Those whose end, or whose entry's end, whoever follows their flows
+        # has not heard of yet.
+        self.ended: list[KnownUpstream] = []
+        self.lapsed: list[KnownUpstream] = []
         # Those that want new flows, by service, failure domain and name.
         self.by_service: dict[str, dict[str, dict[str, KnownUpstream]]] = {}
         # What is in progress, by service.
@@ -163,6 +184,37 @@
         if holder is None or record.name <= holder.record.name:
             self.by_echo[known.echo] = known
         self.place(known)
+        if before is not None:
+            self.replace(before, known)
+        address = (record.host, record.port)
+        holder = self.by_address.get(address)
+        if holder is not None:
+            self.replace(holder, known)
+        self.by_address[address] = known
+
+    def replace(self, before: KnownUpstream, known: KnownUpstream) -> None:
+        """Take note that a process ended, as another one runs in its place.
+
+        Two that were read at once, or whose starts can't be compared, show
+        nothing: clocks of machines differ.
+        """
+        is_later = 0 < before.record.born < known.record.born
+        if is_later and before.since < known.since and not before.ended:
+            before.ended = True
+            self.unplace(before)
+            self.ended.append(before)
+
+    def take_ended(self) -> list[KnownUpstream]:
+        """Return the upstreams whose end nobody was told of yet."""
+        ended = self.ended
+        self.ended = []
+        return ended
+
+    def take_lapsed(self) -> list[KnownUpstream]:
+        """Return the upstreams whose entry's end nobody was told of yet."""
+        lapsed = self.lapsed
+        self.lapsed = []
+        return lapsed
 
     def place(self, known: KnownUpstream) -> None:
         """Let new flows find an upstream that wants them."""
@@ -176,7 +228,9 @@
         """Hide an upstream from new flows."""
         record = known.record
         domains = self.by_service.get(record.service, {})
-        if domains.get(record.domain, {}).pop(record.name, None) is not None:
+        placed = domains.get(record.domain, {})
+        if placed.get(record.name) is known:
+            del placed[record.name]
             known.pool.slots -= record.slots
 
     def lose(self, name: str, now: float) -> bool:
@@ -185,6 +239,8 @@
         if known is None or known.absent_since:
             return False
         known.absent_since = now
+        if self.fell_silent(known):
+            self.lapsed.append(known)
         return True
 
     def forget_old(self, now: float) -> None:
@@ -194,9 +250,16 @@
             if absent and now - absent > FORGET_SECONDS:
                 del self.by_name[name]
                 self.unplace(known)
+                self.forget_address(known)
                 if self.by_echo.get(known.echo) is known:
                     del self.by_echo[known.echo]
 
+    def forget_address(self, known: KnownUpstream) -> None:
+        """Drop an upstream as the one behind its address."""
+        address = (known.record.host, known.record.port)
+        if self.by_address.get(address) is known:
+            del self.by_address[address]
+
     def of_service(self, service: str, now: float) -> Iterator[KnownUpstream]:
         """Return the upstreams of a service that may get new flows."""
         for domain in self.by_service.get(service, {}):
@@ -216,8 +279,15 @@
             if self.presence(known, now) is not Presence.GONE:
                 yield known
 
+    def fell_silent(self, known: KnownUpstream) -> bool:
+        """Return True when an entry vanished that the store did not lose."""
+        since = self.stable_since
+        return 0 < since <= known.absent_since - LEASE_SECONDS
+
     def presence(self, known: KnownUpstream, now: float) -> Presence:
         """Tell whether an upstream is gone, by what is certain."""
+        if known.ended:
+            return Presence.GONE
         if not self.stable_since and known.absent_since:
             return Presence.LAPSED
         return known.presence(now, self.stable_since)
--- a/burdocksill/packets/verdicts.py
+++ b/burdocksill/packets/verdicts.py
@@ -22,6 +22,7 @@
     OVERLOADED = 'overloaded'
     UNKNOWN_ECHO = 'unknown-echo'
     UPSTREAM_GONE = 'upstream-gone'
+    UPSTREAM_REPLACED = 'upstream-replaced'
     UPSTREAM_DARK = 'upstream-dark'
     FLOW_SILENT = 'flow-silent'
 
--- a/burdocksill_lab/packets/load.py
+++ b/burdocksill_lab/packets/load.py
@@ -51,6 +51,8 @@
     deadline_seconds: float = 4.0
     # Flows that are kept for later calls; 0: each call opens one of its own.
     most_idle: int = 10
+    # True: so many callers have one each, and any of them is the next to call.
+    alike: bool = False
     # Before the second try.
     pause_seconds: float = FIRST_PAUSE_SECONDS
     idle: list[ClientFlow] = attrs.field(factory=list)
@@ -88,7 +90,10 @@
     def take_flow(self) -> ClientFlow:
         """Return a flow on which no call waits."""
         while self.idle:
-            flow = self.idle.pop()
+            number = self.next_idle()
+            if number >= len(self.idle):
+                break
+            flow = self.idle.pop(number)
             if not flow.ended:
                 return flow
         number = len(self.calls) % ADDRESSES + 1
@@ -101,6 +106,12 @@
         flow.deadline = self.deadline_seconds
         return flow
 
+    def next_idle(self) -> int:
+        """Return which idle flow is used; one that isn't there: a new one."""
+        if self.alike:
+            return self.world.rng.randrange(self.most_idle)
+        return len(self.idle) - 1
+
     def keep(self, flow: ClientFlow) -> None:
         """Keep a flow for the next call, or close it."""
         if len(self.idle) < self.most_idle:
--- a/burdocksill_lab/packets/outage.py
+++ b/burdocksill_lab/packets/outage.py
@@ -74,6 +74,8 @@
     shares: bool = True
     # Flows that callers of a domain keep for later calls.
     kept_flows: int = 10
+    # True: callers use them all alike, so that some are idle for long.
+    alike: bool = False
     callers: list[Callers] = attrs.field(factory=list)
     peers: list[SignPeer] = attrs.field(factory=list)
     failed: list[LabUpstream] = attrs.field(factory=list)
@@ -107,6 +109,7 @@
                 rate=self.steady_rate,
                 pause_seconds=RETRY_SECONDS,
                 most_idle=self.kept_flows,
+                alike=self.alike,
             )
             callers.start()
             self.callers.append(callers)
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -87,7 +87,7 @@
     def overlook(self) -> None:
         """Conclude from missed openings, as a node does that has read all."""
         if self.alive and not self.stands:
-            self.core.forwarder.overlook(self.timeline.now)
+            self.core.overlook(self.timeline.now)
 
     def go_on(self) -> None:
         """Handle all that has come in meanwhile, in one go."""
@@ -175,6 +175,23 @@
         self.register(upstream)
         return upstream
 
+    def replace_upstream(self, before: LabUpstream) -> LabUpstream:
+        """Start another process at the address of one that has ended."""
+        fresh = LabUpstream(
+            name=next(self.fresh_names),
+            address=before.address,
+            service=before.service,
+            domain=before.domain,
+            timeline=self.timeline,
+            network=self.network,
+            client_port=PORT,
+            work_seconds=before.work_seconds,
+        )
+        self.upstreams[fresh.name] = fresh
+        self.network.receivers[fresh.address] = fresh.receive
+        self.put_entry(fresh, fresh.entry('ready', born=2))
+        return fresh
+
     def register(self, upstream: LabUpstream, state: str = 'ready') -> None:
         """Write an upstream's entry."""
         write_entry(self.put, upstream, state)
@@ -266,7 +283,8 @@
     ) -> None:
         """Send a packet to a node of the client's domain, by a hash."""
         near = [node for node in self.nodes if node.domain == domain]
-        living = [node for node in near if node.alive] or self.nodes
+        living = [node for node in near if node.alive]
+        living = living or [node for node in self.nodes if node.alive]
         digest = zlib.crc32(repr(flow).encode())
         node = living[digest % len(living)]
         source = (dotted(flow[0]), PORT)
