Ask for four silent upstreams where other nodes report them

Cause: beside a node that lies and one that is cut off, one lost packet of an honest node made three upstreams by three reporters within 0.07 s, before any answer was told.

Change: three that a node missed itself are enough as before, with what others report it takes four; an answer is told anew once after the first missed opening and once after the suspicion, so that it ends as soon as they answer.

The scenarios of domains that die hold their bounds.

--- a/burdocksill/packets/outages.py
+++ b/burdocksill/packets/outages.py
@@ -26,9 +26,12 @@
 
 # Signs older than this tell nothing of what the next opening would meet.
 SIGN_SECONDS: Final = 1.0
-# A domain is suspected when openings on so many of its upstreams were missed,
-# and at most this many times as many upstreams have answered since the first.
-SUSPECTED_UPSTREAMS: Final = 3
+# A domain is suspected when this node missed openings on so many upstreams.
+SUSPECTED_OWN: Final = 3
+# With what others report it takes more: two of them may be wrong at once, and
+# a packet of a third may be lost.
+SUSPECTED_UPSTREAMS: Final = 4
+# At most this many times as many upstreams may have answered since the first.
 ANSWERED_FACTOR: Final = 2
 # One node may be cut off itself, or lie: of an upstream alone, what others
 # report counts from two of them on.
@@ -77,14 +80,31 @@
 class DomainSigns:
     """Hold what openings met in one failure domain."""
 
-    __slots__ = ('missed_at', 'signs', 'suspected_since')
+    __slots__ = ('missed_at', 'missed_since', 'signs', 'suspected_since')
 
     def __init__(self) -> None:
         """Begin with a domain that is trusted."""
         self.signs: dict[KnownUpstream, UpstreamSigns] = {}
         # Since when its upstreams must prove themselves; infinite: never.
         self.suspected_since = float('inf')
+        # The last missed opening, and the first of those without a pause.
         self.missed_at = float('-inf')
+        self.missed_since = float('-inf')
+
+    def note_missed(self, at: float) -> None:
+        """Take note of the time of a missed opening."""
+        if at - self.missed_at > SIGN_SECONDS:
+            self.missed_since = at
+        self.missed_at = max(self.missed_at, at)
+
+    def is_news(self, signs: UpstreamSigns, at: float) -> bool:
+        """Return True when others count an answer that they haven't yet."""
+        if signs.missed or at - signs.answered_at > SIGN_SECONDS:
+            return True
+        since = self.missed_since
+        if self.was_suspected():
+            since = self.suspected_since
+        return signs.answered_at < since <= at
 
     def of(self, known: KnownUpstream) -> UpstreamSigns:
         """Return what openings on an upstream met."""
@@ -189,7 +209,10 @@
     @property
     def speaks_against(self) -> bool:
         """Return True when the domain itself seems to have failed."""
-        return self.evidence >= SUSPECTED_UPSTREAMS and self.outweighs
+        enough = (
+            self.own >= SUSPECTED_OWN or self.evidence >= SUSPECTED_UPSTREAMS
+        )
+        return enough and self.outweighs
 
     @property
     def outweighs(self) -> bool:
@@ -261,7 +284,7 @@
         others = signs.reporters(now - SIGN_SECONDS) - {reporter}
         news = len(others) < FEWEST_REPORTERS
         signs.missed[reporter] = at
-        domain.missed_at = max(domain.missed_at, at)
+        domain.note_missed(at)
         self.review_domain(known.record.domain, domain, now)
         if not domain.was_suspected():
             self.consider(known.record.domain, domain, now)
@@ -276,7 +299,7 @@
     ) -> bool:
         """Count an answer; return False where one is known already."""
         signs = domain.of(known)
-        news = bool(signs.missed) or at - signs.answered_at > SIGN_SECONDS
+        news = domain.is_news(signs, at)
         if any(missed_at > at for missed_at in signs.missed.values()):
             return False
         signs.missed.clear()
