Draw upstreams until enough fit, instead of weighing all of a domain

Cause: an opening weighed every upstream of its domain before 16 were compared, and those of all domains where its own had none.

Change: upstreams are drawn at random until 16 fit; above 64 of a service the same is tried over all domains before all are ranked. Which one is chosen among 16 is as before. The lab's upstreams have addresses of their own.

--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Container, Iterable, Iterator
+from itertools import islice
 from random import Random
 
 from burdocksill.packets.isolation import Isolation
@@ -30,6 +31,8 @@
 # Among more than these, a random sample is compared: its best is nearly the
 # best of all, and nodes don't all run to the same upstream.
 MOST_COMPARED: Final = 16
+# Above so many of a service a sample of all domains is looked at before all.
+MOST_RANKED: Final = 64
 # Nodes do not know each other. A cold upstream's limit is shared as if there
 # were this many. Larger fleets push it further than they should; what carries
 # those is on the capacity page.
@@ -174,12 +177,34 @@
         near = self.place_near(service, urgency, now, avoid, worst)
         if near is not None:
             return near
+        some = self.some_well(service, now, avoid)
+        chosen = self.first_open(some, urgency, now)
+        if isinstance(chosen, KnownUpstream):
+            return chosen
         for candidates in self.ranked(service, now, avoid):
             chosen = self.first_open(candidates, urgency, now)
             if chosen is not None:
                 return chosen
         return Reason.NO_UPSTREAM
 
+    def some_well(
+        self,
+        service: str,
+        now: float,
+        avoid: Container[str],
+    ) -> list[KnownUpstream]:
+        """Return some of the best rank, none where there are few in all."""
+        domains = self.upstreams.by_service.get(service, {})
+        if sum(len(placed) for placed in domains.values()) <= MOST_RANKED:
+            return []
+        well = (
+            known
+            for known in self.drawn(service, domains.keys() - self.out)
+            if self.upstreams.may_serve(known, now)
+            and self.rank(known, now, avoid) == WELL
+        )
+        return list(islice(well, MOST_COMPARED))
+
     def tries_suspected(self, now: float) -> bool:
         """Return True for the few new flows that test a suspected domain.
 
@@ -241,19 +266,35 @@
         """Return a warm upstream of the own domain that does not queue."""
         if self.domain in self.out:
             return None
-        found = [
+        fitting = (
             known
-            for known in self.upstreams.of_domain(service, self.domain, now)
-            if not known.is_cold(now)
+            for known in self.drawn(service, [self.domain])
+            if self.upstreams.may_serve(known, now)
             and self.rank(known, now, avoid) <= worst
-            and not queues(known)
-            and known.admits(urgency)
-        ]
-        if len(found) > MOST_COMPARED:
-            found = self.rng.sample(found, MOST_COMPARED)
+            and has_room(known, urgency, now)
+        )
+        found = list(islice(fitting, MOST_COMPARED))
         ordered = self.by_preference(found, now)
         return ordered[0] if ordered else None
 
+    def drawn(
+        self,
+        service: str,
+        domains: Iterable[str],
+    ) -> Iterator[KnownUpstream]:
+        """Return upstreams in a random order, drawn as they are asked for."""
+        rest = [
+            known
+            for domain in domains
+            for known in self.upstreams.placed(service, domain)
+        ]
+        while rest:
+            number = int(self.rng.random() * len(rest))
+            chosen = rest[number]
+            rest[number] = rest[-1]
+            rest.pop()
+            yield chosen
+
     def rank(
         self,
         known: KnownUpstream,
@@ -307,6 +348,13 @@
         return self.budget.take(known.record.name, now, limit)
 
 
+def has_room(known: KnownUpstream, urgency: int, now: float) -> bool:
+    """Return True when it is warm and would answer one more flow at once."""
+    return (
+        not known.is_cold(now) and not queues(known) and known.admits(urgency)
+    )
+
+
 def queues(known: KnownUpstream) -> bool:
     """Return True when requests wait at an upstream, as far as is seen."""
     return known.waiting > known.record.slots * SPILL_IN_PROGRESS
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from burdocksill.packets.admission import Pool
 from burdocksill.packets.health import UpstreamHealth
@@ -272,13 +272,25 @@
         now: float,
     ) -> Iterator[KnownUpstream]:
         """Return those of them in one failure domain."""
-        placed = self.by_service.get(service, {}).get(domain, {})
-        for known in placed.values():
-            if self.by_echo.get(known.echo) is not known:
-                continue
-            if self.presence(known, now) is not Presence.GONE:
+        for known in self.placed(service, domain):
+            if self.may_serve(known, now):
                 yield known
 
+    def placed(
+        self,
+        service: str,
+        domain: str,
+    ) -> Collection[KnownUpstream]:
+        """Return those that want new flows in one failure domain."""
+        return self.by_service.get(service, {}).get(domain, {}).values()
+
+    def may_serve(self, known: KnownUpstream, now: float) -> bool:
+        """Return True when packets find it, and it isn't known to be gone."""
+        return (
+            self.by_echo.get(known.echo) is known
+            and self.presence(known, now) is not Presence.GONE
+        )
+
     def fell_silent(self, known: KnownUpstream) -> bool:
         """Return True when an entry vanished that the store did not lose."""
         since = self.stable_since
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -36,6 +36,7 @@
 ROUTE_PORT: Final = 8443
 FIRST_IDLE_PORT: Final = 10000
 UPSTREAM_PORT: Final = 8080
+HOSTS_PER_NET: Final = 250
 FIRST_CLIENT_PORT: Final = 1024
 
 
@@ -162,7 +163,7 @@
         """Start an upstream and register it."""
         upstream = LabUpstream(
             name=next(self.fresh_names),
-            address=(f'10.2.0.{len(self.upstreams) + 1}', UPSTREAM_PORT),
+            address=(upstream_host(len(self.upstreams)), UPSTREAM_PORT),
             service=service,
             domain=domain,
             timeline=self.timeline,
@@ -303,6 +304,14 @@
 Row = dict[str, Any]
 
 
+def upstream_host(number: int) -> str:
+    """Return an address of its own for each upstream."""
+    third, fourth = divmod(number, HOSTS_PER_NET)
+    return (
+        f'10.{2 + third // HOSTS_PER_NET}.{third % HOSTS_PER_NET}.{fourth + 1}'
+    )
+
+
 def write_entry(put: Put, upstream: LabUpstream, state: str) -> None:
     """Write an upstream's entry into a store."""
     put(
--- a/tests/packets/placement.feature
+++ b/tests/packets/placement.feature
@@ -56,3 +56,18 @@
     And 2 new flows in "a" send a request
     And 0.1 seconds pass
     Then every new flow was ended by a node
+
+  Scenario: An opening looks at few of many upstreams
+    Guards against openings whose cost grows with the service.
+    Given a domain "a" with 1 node and 900 upstreams
+    When 50 new flows in "a" are placed
+    Then each looked at 32 upstreams at most
+    And no upstream got more than 3 of them
+
+  Scenario: An opening of a domain without upstreams looks at few upstreams
+    Guards against openings whose cost grows with all other domains.
+    Given a domain "a" with 1 node and no upstreams
+    And a domain "b" with 1 node and 900 upstreams
+    When 50 new flows in "a" are placed
+    Then each looked at 32 upstreams at most
+    And no upstream got more than 3 of them
