Measure a client's wait against what answers take now

Cause, found by reading: a client's wait for an upstream whose entry had vanished was held against four times an answer that need not queue. Where answers queue, a living upstream that can't reach the store, or whose writes come late, would lose all of its flows at one client's first repeat.

Two repeats decide as before.

--- a/burdocksill/packets/admission.py
+++ b/burdocksill/packets/admission.py
@@ -25,6 +25,7 @@
 # whose queue is full refuses in a few bytes, and sooner than any answer comes.
 SHORT_SHARE: Final = 0.4
 SIZE_STEP: Final = 0.02
+RECENT_STEP: Final = 0.1
 # An answer that takes less than so many times the usual one has not queued.
 QUEUED_FACTOR: Final = 4.0
 # The usual answer follows what is faster at once, and what is slower by this
@@ -61,6 +62,7 @@
 
     __slots__ = (
         'limit',
+        'recent',
         'slots',
         'usual',
         'usual_at',
@@ -73,6 +75,8 @@
         self.slots = 0
         self.waiting = 0
         self.limit = MOST_IN_PROGRESS
+        # What answers take now, queued or not; 0 before the first.
+        self.recent: float = 0
         # What answers take that need not queue; 0 before the first.
         self.usual: float = 0
         self.usual_at: float = 0
@@ -97,6 +101,8 @@
 
     def answered(self, answer: Answer, now: float) -> None:
         """Move the limit by what one answer took."""
+        step = RECENT_STEP if self.recent else 1
+        self.recent += (answer.seconds - self.recent) * step
         short = answer.size < self.usual_size * SHORT_SHARE
         self.usual_size += (answer.size - self.usual_size) * SIZE_STEP
         if short or not answer.objective_seconds:
--- a/burdocksill/packets/health.py
+++ b/burdocksill/packets/health.py
@@ -51,8 +51,9 @@
 UNKNOWN_ANSWER_SECONDS: Final = float('inf')
 SILENT_KEPT: Final = 16
 # An upstream whose entry vanished is lost when a client has waited for so many
-# times the answer that need not queue, or has sent twice again.
-LAPSED_ANSWERS: Final = 4.0
+# times what answers take now, or has sent twice again: where queues are long,
+# a living upstream's clients send once again.
+LAPSED_ANSWERS: Final = 3.0
 
 
 class SilentFlow:
@@ -144,12 +145,13 @@
         """Return True while it should get no new flow if others can."""
         return now < self.aside_until or len(self.silent) >= PAIR_FLOWS
 
-    def keeps_waiting(self, now: float, usual: float) -> bool:
+    def keeps_waiting(self, now: float, recent: float) -> bool:
         """Return True when a client waits for longer than answers take.
 
-        `usual` are the seconds of an answer that need not queue, 0 if unknown.
+        `recent` are the seconds that those of its service take now, 0 if
+        unknown.
         """
-        longest = usual * LAPSED_ANSWERS or float('inf')
+        longest = recent * LAPSED_ANSWERS or float('inf')
         return any(
             flow.repeats >= REPEATS_WITHOUT_DOUBT or now - flow.since >= longest
             for flow in self.silent.values()
--- a/burdocksill/packets/losses.py
+++ b/burdocksill/packets/losses.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 
 from burdocksill.packets.flows import FlowTable
-from burdocksill.packets.health import LAPSED_ANSWERS
+from burdocksill.packets.health import LAPSED_ANSWERS, QUICK_SECONDS
 from burdocksill.packets.upstreams import KnownUpstream, Presence, Upstreams
 from burdocksill.packets.verdicts import Reason
 
@@ -45,7 +45,7 @@
         if presence is Presence.GONE and health.silent:
             return Reason.UPSTREAM_GONE
         silent = self.upstreams.fell_silent(upstream)
-        if silent and health.keeps_waiting(now, upstream.pool.usual):
+        if silent and health.keeps_waiting(now, upstream.pool.recent):
             return Reason.UPSTREAM_GONE
         return None
 
@@ -65,7 +65,8 @@
 
         A node that is behind may have the answer's sign in its socket.
         """
-        usual = upstream.pool.usual
-        if self.flows.behind or not usual or upstream.is_listed:
+        recent = upstream.pool.recent
+        if self.flows.behind or not recent or upstream.is_listed:
             return False
-        return self.flows.waits_since(upstream, now - usual * LAPSED_ANSWERS)
+        longest = max(recent * LAPSED_ANSWERS, QUICK_SECONDS)
+        return self.flows.waits_since(upstream, now - longest)
--- a/tests/packets/power.feature
+++ b/tests/packets/power.feature
@@ -63,3 +63,16 @@
     And every flow sends a request
     Then every request is served
     And no flow was ended by a node
+
+  Scenario: A living upstream whose entry vanished keeps its flows in a queue
+    Guards against a store that writes late while answers take longer than before.
+    Given a domain "a" with 1 node and 4 upstreams
+    And the route's callers want answers within 0.6 seconds
+    And 8 open flows in "a" whose clients wait 3 seconds
+    When all upstreams come to work 0.3 seconds
+    And every flow sends a request, every 1.0 seconds for 4.0 seconds
+    And its entry is removed for one upstream
+    And every flow sends a request
+    And 2 seconds pass
+    Then every request is served
+    And no flow was ended by a node
--- a/tests/steps/packets_power.py
+++ b/tests/steps/packets_power.py
@@ -117,6 +117,23 @@
     assert share >= least, share
 
 
+@given("the route's callers want answers within {seconds:f} seconds")
+def want_answers(context: Context, seconds: float) -> None:
+    """Write a manifest with an objective."""
+    world_of(context).put_manifest(
+        6,
+        {ROUTE_PORT: 'ledger'},
+        objectives={ROUTE_PORT: Objective(seconds=seconds)},
+    )
+
+
+@when('all upstreams come to work {seconds:f} seconds')
+def slow_down(context: Context, seconds: float) -> None:
+    """Let all requests take longer."""
+    for upstream in world_of(context).upstreams.values():
+        upstream.work_seconds = seconds
+
+
 @when('an upstream crashes and another process registers at its address')
 def replace(context: Context) -> None:
     """Start another process before the entry of the old one has lapsed."""
