Let the lab's routers keep to dead nodes where no node is alive

The fallback to living nodes of other domains, new with the domain that loses power, left nothing to choose from where all nodes are dead; the routers of the users' platform send on to them.

--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -285,7 +285,9 @@
         """Send a packet to a node of the client's domain, by a hash."""
         near = [node for node in self.nodes if node.domain == domain]
         living = [node for node in near if node.alive]
-        living = living or [node for node in self.nodes if node.alive]
+        if not living:
+            alive = [node for node in self.nodes if node.alive]
+            living = alive or self.nodes
         digest = zlib.crc32(repr(flow).encode())
         node = living[digest % len(living)]
         source = (dotted(flow[0]), PORT)
