--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -197,9 +197,10 @@
         domains = self.upstreams.by_service.get(service, {})
         if sum(len(placed) for placed in domains.values()) <= MOST_RANKED:
             return []
+        usable = [name for name in domains if name not in self.out]
         well = (
             known
-            for known in self.drawn(service, domains.keys() - self.out)
+            for known in self.drawn(service, usable)
             if self.upstreams.may_serve(known, now)
             and self.rank(known, now, avoid) == WELL
         )
