Leave a failed domain at the first opening that a node missed there

Cause: a domain was suspected by three missed openings within a second. A node of a large domain sees one to five openings a second, so it got there late or never. Until then it took the least loaded upstream, which is a dead one.

Change: a circuit breaker for each domain, of this node's openings alone. The first missed opening opens it, answers close it. It steers placement only; the reports of others, serving at home and resets stay as they were. The line "domain suspected" is written when new flows begin to avoid a domain.

--- a/burdocksill/packets/outages.py
+++ b/burdocksill/packets/outages.py
@@ -6,7 +6,8 @@
 reach one after the other. A single node sends too few openings to find each
 failed upstream by itself. The nodes of a domain share what they observe, and a
 few observations show that the domain has failed. New flows then go to upstreams
-that have answered since.
+that have answered since. Until then, or if no observations arrive, each node
+goes by its own circuit breaker of the domain.
 
 These observations affect the placement of new flows only; they end no flow.
 """
@@ -18,6 +19,7 @@
 from itertools import chain
 
 from burdocksill.observe.early import EarlyLogger
+from burdocksill.packets.breaker import CircuitBreaker
 from burdocksill.packets.upstreams import KnownUpstream, UpstreamRegistry
 from burdocksill.readers.messages import Observation
 
@@ -83,6 +85,8 @@
     """Hold the results of openings in one failure domain."""
 
     __slots__ = (
+        'avoided_since',
+        'breaker',
         'by_upstream',
         'first_missed_at',
         'last_missed_at',
@@ -92,6 +96,9 @@
     def __init__(self) -> None:
         """Start with a domain that is not suspected."""
         self.by_upstream: dict[KnownUpstream, UpstreamObservations] = {}
+        self.breaker = CircuitBreaker()
+        # Since when new flows avoid the domain, as logged; infinite otherwise.
+        self.avoided_since = float('inf')
         # Start of the suspicion; upstreams must have answered since then to
         # get new flows. Infinite while the domain is not suspected.
         self.suspected_since = float('inf')
@@ -144,6 +151,10 @@
             and now - self.last_missed_at <= SUSPICION_SECONDS
         )
 
+    def is_avoided(self, now: float) -> bool:
+        """Return True while only a few new flows test the domain."""
+        return self.breaker.is_open(now) or self.is_suspected(now)
+
     def remove_expired(self, now: float) -> None:
         """Remove observations that are too old to count."""
         for upstream, observations in list(self.by_upstream.items()):
@@ -258,13 +269,20 @@
 
     def record_missed(self, upstream: KnownUpstream, now: float) -> None:
         """Record an opening of this node that was not answered."""
+        domain = self.domains.setdefault(
+            upstream.record.domain,
+            DomainObservations(),
+        )
+        domain.breaker.record_missed(upstream, now)
         if self.add_missed(upstream, LOCAL_REPORTER, now, now):
             self.publish(upstream, now, answered=False)
 
     def record_answered(self, upstream: KnownUpstream, now: float) -> None:
         """Record an answer, if its domain has a recent missed answer."""
         domain = self.domains.get(upstream.record.domain)
-        if domain is None or not domain.has_recent_miss(now):
+        if domain is None or not (
+            domain.has_recent_miss(now) or domain.breaker.is_open(now)
+        ):
             return
         if self.add_answered(domain, upstream, now, now):
             self.publish(upstream, now, answered=True)
@@ -334,9 +352,10 @@
         is_new = len(others) < MIN_REPORTERS
         observations.missed[reporter] = at
         domain.record_missed(at)
-        self.update_suspicion(upstream.record.domain, domain, now)
+        self.update_suspicion(domain, now)
         if not domain.has_suspicion():
-            self.suspect_if_failed(upstream.record.domain, domain, now)
+            self.suspect_if_failed(domain, now)
+        self.log_change(upstream.record.domain, domain, now)
         return is_new
 
     def add_answered(
@@ -353,49 +372,51 @@
             return False
         observations.missed.clear()
         observations.answered_at = max(observations.answered_at, at)
-        self.update_suspicion(upstream.record.domain, domain, now)
+        domain.breaker.record_answered(upstream, at)
+        self.update_suspicion(domain, now)
+        self.log_change(upstream.record.domain, domain, now)
         return is_new
 
-    def suspect_if_failed(
-        self,
-        name: str,
-        domain: DomainObservations,
-        now: float,
-    ) -> None:
+    def suspect_if_failed(self, domain: DomainObservations, now: float) -> None:
         """Suspect a domain if enough of its upstreams are unresponsive."""
         domain.remove_expired(now)
         evidence = domain.recent_evidence(now)
         if evidence.indicates_outage:
             domain.suspected_since = evidence.since
-            self.log_state('domain suspected', name, evidence, now)
 
     def expire_suspicions(self, now: float) -> None:
         """End suspicions that have expired or lack evidence."""
         for name, domain in self.domains.items():
-            self.update_suspicion(name, domain, now)
+            self.update_suspicion(domain, now)
+            self.log_change(name, domain, now)
 
-    def update_suspicion(
-        self,
-        name: str,
-        domain: DomainObservations,
-        now: float,
-    ) -> None:
+    def update_suspicion(self, domain: DomainObservations, now: float) -> None:
         """End a suspicion that has expired or lacks evidence."""
         if not domain.has_suspicion():
             return
         evidence = domain.evidence_since_suspected()
         if not domain.is_suspected(now) or not evidence.has_few_answers:
             domain.suspected_since = float('inf')
-            self.log_state('domain trusted', name, evidence, now)
 
-    def log_state(
+    def log_change(
         self,
-        message: str,
         name: str,
-        counts: OutageEvidence,
+        domain: DomainObservations,
         now: float,
     ) -> None:
-        """Log a domain's change of state with the counts that caused it."""
+        """Log that new flows begin or stop to avoid a domain, and why."""
+        was_avoided = domain.avoided_since != float('inf')
+        if domain.is_avoided(now) == was_avoided:
+            return
+        if was_avoided:
+            message = 'domain trusted'
+            since = domain.avoided_since
+            counts = domain.evidence(since, since)
+            domain.avoided_since = float('inf')
+        else:
+            message = 'domain suspected'
+            counts = domain.recent_evidence(now)
+            domain.avoided_since = counts.since
         logger.warning(
             message,
             extra={
@@ -409,6 +430,11 @@
             },
         )
 
+    def is_domain_avoided(self, name: str, now: float) -> bool:
+        """Return True while only a few new flows test a domain."""
+        domain = self.domains.get(name)
+        return domain is not None and domain.is_avoided(now)
+
     def is_domain_suspected(self, name: str, now: float) -> bool:
         """Return True while a domain is suspected."""
         domain = self.domains.get(name)
@@ -431,7 +457,11 @@
         a new process, about which older observations say nothing.
         """
         domain = self.domains.get(upstream.record.domain)
-        if domain is None or now - domain.last_missed_at > SUSPICION_SECONDS:
+        if domain is None:
+            return False
+        if domain.breaker.blocks(upstream, now):
+            return True
+        if now - domain.last_missed_at > SUSPICION_SECONDS:
             return False
         observations = domain.by_upstream.get(upstream)
         if observations is not None and observations.is_confirmed(now):
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -232,7 +232,7 @@
 
         If the own domain is out of service and isolated, they probe the others.
         """
-        in_trial = self.outages.is_domain_suspected(self.domain, now)
+        in_trial = self.outages.is_domain_avoided(self.domain, now)
         if not in_trial and self.domain in self.domains_out:
             in_trial = self.isolation.are_others_suspected(now)
         return in_trial and self.rng.random() < TRIAL_SHARE
--- a/tests/packets/outages.feature
+++ b/tests/packets/outages.feature
@@ -29,6 +29,40 @@
     When all upstreams of the first domain die for 2 seconds
     Then of its calls from 0.5 s on at most 0.0 are never served
 
+  Scenario Outline: Nodes that see few openings leave a failed domain by themselves
+    Guards against nodes that send tries to a failed domain although they have
+    missed openings and seen no answer there.
+    Given 3 domains of <nodes> nodes and <upstreams> upstreams, with <rate> calls a second each
+    And nodes tell each other nothing
+    When all upstreams of the first domain die for 2 seconds
+    Then of its calls from 0.5 s on at most 0.0 are never served
+
+    Examples:
+      | nodes | upstreams | rate |
+      | 6     | 15        | 60   |
+      | 39    | 24        | 100  |
+      | 39    | 24        | 400  |
+      | 80    | 70        | 100  |
+      | 195   | 120       | 200  |
+
+  Scenario: One missed opening steers new flows to upstreams that have answered
+    Guards against further tries in a domain before anything there has answered.
+    Given observations of 20 upstreams of a domain that all answer
+    When this node misses openings of 1 of them
+    Then new flows avoid 20 of them
+    And the domain is not suspected
+    When one of the others answers
+    Then new flows avoid 1 of them
+    And log lines show that it was suspected and is trusted again
+
+  Scenario: A domain that never answers is tested after growing intervals
+    Guards against new flows that avoid a domain forever, or test it too often.
+    Given observations of 20 upstreams of a domain that all answer
+    When this node misses an opening whenever it may test the domain, for 30 s
+    Then it misses at most 6 openings
+    When nothing more is observed for 9 s
+    Then new flows avoid 0 of them
+
   Scenario: A domain of which half of the upstreams fail keeps its flows
     Guards against the suspicion of a domain of which half still answers.
     Given 5 domains of 39 nodes and 24 upstreams, with 200 calls a second each
--- a/tests/steps/packets_reporters.py
+++ b/tests/steps/packets_reporters.py
@@ -225,6 +225,45 @@
         context.outages.record_missed(known, context.now)
 
 
+@when('one of the others answers')
+def answer_one(context: Context) -> None:
+    """Record an answer of the last upstream."""
+    context.now += STEP_SECONDS
+    known = context.known[-1]
+    known.health.record_answer(context.now)
+    context.outages.record_answered(known, context.now)
+
+
+@when(
+    'this node misses an opening whenever it may test the domain, '
+    'for {seconds:d} s',
+)
+def miss_all_tests(context: Context, seconds: int) -> None:
+    """Miss an opening in each step in which the domain is not avoided."""
+    context.missed = 0
+    for _ in range(round(seconds / STEP_SECONDS)):
+        context.now += STEP_SECONDS
+        if not context.outages.is_domain_avoided(DOMAIN, context.now):
+            context.outages.record_missed(context.known[0], context.now)
+            context.missed += 1
+
+
+@then('it misses at most {most:d} openings')
+def check_missed(context: Context, most: int) -> None:
+    """Check the number of missed openings."""
+    assert 0 < context.missed <= most, context.missed
+
+
+@then('new flows avoid {count:d} of them')
+def check_avoided(context: Context, count: int) -> None:
+    """Check how many upstreams new flows avoid."""
+    avoided = sum(
+        context.outages.is_upstream_suspected(known, context.now)
+        for known in context.known
+    )
+    assert avoided == count, avoided
+
+
 @when(
     'all answer each {gap:f} s while a node reports a missed opening '
     'each second, for {seconds:d} s',
