Keep the flows of a node that loses a single packet in their domain

Callers saw: nothing lost, but after one lost packet all new flows of a node went to other domains for up to 2 s.

Cause: where each call opens a flow, a node whose new flows all avoid a domain sees no answers there but those of its trials, one random flow of 16; this node's first trial was its 61st flow or so.

Evidence: entry-2 missed one opening 0.53 s after the start, 0.17 s after the last answer, and trusted the domain again 1.77 s later, after a trial.

Change: the breaker has no effect within 0.1 s of an answer of the domain, as the next answers then soon show that a packet was lost. Trials are each 16th flow of a node, from a random first one on, not each flow by chance.

--- a/burdocksill/packets/breaker.py
+++ b/burdocksill/packets/breaker.py
@@ -3,7 +3,8 @@
 It uses only what this node observes of its own openings, so that it also works
 while the reader that relays observations of other nodes has failed. In a large
 fleet each node sees few openings a second. It therefore opens at the first
-missed one, and closes as soon as upstreams of the domain answer.
+missed one, unless the domain has just answered, and closes as soon as upstreams
+of the domain answer.
 """
 
 from __future__ import annotations
@@ -17,6 +18,9 @@
 # The breaker stays open for this long after a missed opening. It doubles each
 # time that the breaker opens again before the domain has answered.
 BASE_OPEN_SECONDS: Final = 2.0
+# The breaker stays closed for this long after an answer of the domain. Where a
+# node sees many answers, the next ones soon show whether a packet was lost.
+ANSWERED_SECONDS: Final = 0.1
 # Store entries of failed upstreams have expired by then.
 MAX_OPEN_SECONDS: Final = 8.0
 # The breaker closes sooner when as many upstreams have answered as missed an
@@ -29,6 +33,7 @@
 
     __slots__ = (
         'answered',
+        'last_answered_at',
         'last_missed_at',
         'missed',
         'open_seconds',
@@ -40,12 +45,20 @@
         # Infinite until an opening is missed, and after enough answers.
         self.opened_at = float('inf')
         self.last_missed_at = float('-inf')
+        self.last_answered_at = float('-inf')
         self.open_seconds = BASE_OPEN_SECONDS
         self.missed: set[KnownUpstream] = set()
         self.answered: set[KnownUpstream] = set()
 
     def is_open(self, now: float) -> bool:
         """Return True while new flows should avoid the domain."""
+        return (
+            self.has_recent_miss(now)
+            and now - self.last_answered_at > ANSWERED_SECONDS
+        )
+
+    def has_recent_miss(self, now: float) -> bool:
+        """Return True until enough answers or the end of its time."""
         return (
             self.opened_at <= now
             and now - self.last_missed_at <= self.open_seconds
@@ -64,7 +77,7 @@
 
     def record_missed(self, upstream: KnownUpstream, now: float) -> None:
         """Record a missed opening, which opens the breaker."""
-        if not self.is_open(now):
+        if not self.has_recent_miss(now):
             self.reopen(now)
         self.last_missed_at = now
         self.answered.discard(upstream)
--- a/burdocksill/packets/outages.py
+++ b/burdocksill/packets/outages.py
@@ -269,24 +269,30 @@
 
     def record_missed(self, upstream: KnownUpstream, now: float) -> None:
         """Record an opening of this node that was not answered."""
-        domain = self.domains.setdefault(
-            upstream.record.domain,
-            DomainObservations(),
-        )
+        domain = self.domain_of(upstream)
         domain.breaker.record_missed(upstream, now)
         if self.add_missed(upstream, LOCAL_REPORTER, now, now):
             self.publish(upstream, now, answered=False)
 
     def record_answered(self, upstream: KnownUpstream, now: float) -> None:
         """Record an answer, if its domain has a recent missed answer."""
-        domain = self.domains.get(upstream.record.domain)
-        if domain is None or not (
-            domain.has_recent_miss(now) or domain.breaker.is_open(now)
-        ):
+        domain = self.domain_of(upstream)
+        breaker = domain.breaker
+        breaker.last_answered_at = now
+        if not (domain.has_recent_miss(now) or breaker.has_recent_miss(now)):
             return
         if self.add_answered(domain, upstream, now, now):
             self.publish(upstream, now, answered=True)
 
+    def domain_of(self, upstream: KnownUpstream) -> DomainObservations:
+        """Return the observations of an upstream's domain."""
+        name = upstream.record.domain
+        domain = self.domains.get(name)
+        if domain is None:
+            domain = DomainObservations()
+            self.domains[name] = domain
+        return domain
+
     def publish(
         self,
         upstream: KnownUpstream,
@@ -325,10 +331,7 @@
                 observation.at,
                 now,
             )
-        domain = self.domains.setdefault(
-            upstream.record.domain,
-            DomainObservations(),
-        )
+        domain = self.domain_of(upstream)
         return self.add_answered(domain, upstream, observation.at, now)
 
     def add_missed(
@@ -339,10 +342,7 @@
         now: float,
     ) -> bool:
         """Add a missed answer; return False if enough nodes reported it."""
-        domain = self.domains.setdefault(
-            upstream.record.domain,
-            DomainObservations(),
-        )
+        domain = self.domain_of(upstream)
         observations = domain.of(upstream)
         if observations.answered_at > at:
             return False
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -50,9 +50,9 @@
 EJECTED: Final = 2
 EXPIRED: Final = 3
 RANKS: Final = 4
-# Fraction of the new flows that are sent to a suspected domain as a trial. They
-# find upstreams that answer again, while all other flows go to other domains.
-TRIAL_SHARE: Final = 1 / 16
+# One of this many new flows is sent to a suspected domain as a trial. It finds
+# upstreams that answer again, while all other flows go to other domains.
+TRIAL_INTERVAL: Final = 16
 NO_EXCLUSIONS: Final[frozenset[str]] = frozenset()
 
 
@@ -88,6 +88,7 @@
         'budget',
         'domain',
         'domains_out',
+        'flows_until_trial',
         'isolation',
         'node_count',
         'outages',
@@ -114,6 +115,8 @@
         self.rng = rng
         # Failure domains that operators have taken out of service.
         self.domains_out: set[str] = set()
+        # Counts down to the next trial; 0 while no domain is suspected.
+        self.flows_until_trial: int = 0
         self.budget: ColdBudget = ColdBudget() if budget is None else budget
         # Number of nodes that share the limit of a cold upstream.
         self.node_count = node_count
@@ -235,7 +238,17 @@
         in_trial = self.outages.is_domain_avoided(self.domain, now)
         if not in_trial and self.domain in self.domains_out:
             in_trial = self.isolation.are_others_suspected(now)
-        return in_trial and self.rng.random() < TRIAL_SHARE
+        if not in_trial:
+            self.flows_until_trial = 0
+            return False
+        if not self.flows_until_trial:
+            # The nodes of a domain start at different counts.
+            self.flows_until_trial = 1 + int(self.rng.random() * TRIAL_INTERVAL)
+        self.flows_until_trial -= 1
+        if self.flows_until_trial:
+            return False
+        self.flows_until_trial = TRIAL_INTERVAL
+        return True
 
     def healthy_local(self, service: str, now: float) -> list[KnownUpstream]:
         """Return the healthy upstreams of the own failure domain."""
--- a/tests/packets/outages.feature
+++ b/tests/packets/outages.feature
@@ -55,6 +55,20 @@
     Then new flows avoid 1 of them
     And log lines show that it was suspected and is trusted again
 
+  Scenario: One missed opening right after an answer moves no flows
+    Guards against flows that leave their domain because a packet was lost.
+    Given observations of 20 upstreams of a domain that all answer
+    When one of the others answers
+    And this node misses openings of 1 of them
+    Then new flows avoid 1 of them
+
+  Scenario: Flows of a node that loses one packet stay in their domain
+    Guards against a lost packet after which all flows of a node leave.
+    Given world seed 8
+    And 3 domains of 2 nodes and 20 upstreams, with 60 calls a second each
+    When for 10 seconds one of 1000 packets is lost, with a node whose clock is ahead
+    Then at least 0.95 of the flows of its callers are opened in their own domain
+
   Scenario: A domain that never answers is tested after growing intervals
     Guards against new flows that avoid a domain forever, or test it too often.
     Given observations of 20 upstreams of a domain that all answer
--- a/tests/steps/packets_outages.py
+++ b/tests/steps/packets_outages.py
@@ -55,6 +55,12 @@
     )
 
 
+@given('world seed {seed:d}')
+def set_seed(context: Context, seed: int) -> None:
+    """Use another seed than the default."""
+    context.seed = seed
+
+
 @given('nodes ignore missed openings')
 def ignore_missed_openings(context: Context) -> None:
     """Select the control run without outage detection."""
