Build the exchange of tools.reader_cost with all its parts

Cause: PeerExchange got a read gate and an exchange of observations, and the tool was not changed. mypy checked the packages of the product and the lab, not the tools.

--- a/tools/observe_cost.py
+++ b/tools/observe_cost.py
@@ -91,7 +91,8 @@
     with open('/dev/null', 'w') as sink:
         configure_logging(level='INFO', node='vm')
         for handler in logging.getLogger().handlers:
-            handler.setStream(sink)
+            if isinstance(handler, logging.StreamHandler):
+                handler.setStream(sink)
         log = DecisionLog(clock=SystemClock())
         envelope = make_envelope(1)
         member = Member(
@@ -112,7 +113,7 @@
         all_traced = Tracing(node='vm', ratio=1)
         figures = {
             'counter with four labels, us': best_microseconds(
-                lambda: counters.add('answers', **labels)
+                lambda: counters.add('answers', 1, **labels)
             ),
             'histogram, us': best_microseconds(
                 lambda: counters.record(
--- a/tools/reader_cost.py
+++ b/tools/reader_cost.py
@@ -8,10 +8,14 @@
 import trio
 
 from burdocksill.network.addresses import Address
+from burdocksill.network.protocols import DatagramSocket
 from burdocksill.network.sockets import SocketNetwork
+from burdocksill.packets.core import PacketCore
 from burdocksill.readers.changes import ChangeLog
 from burdocksill.readers.datagrams import UpdateRequest
-from burdocksill.readers.exchange import PeerExchange
+from burdocksill.readers.exchange import PeerExchange, SharedReadGate
+from burdocksill.readers.messages import Reader
+from burdocksill.readers.observations import ObservationExchange
 from burdocksill.readers.publisher import Publisher
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import encode_update_request
@@ -54,30 +58,47 @@
     return time.process_time() - started
 
 
-async def main() -> None:
-    """Print the cost of one request."""
-    world = PacketWorld(seed=1)
-    world.put_manifest(1, {ROUTE_PORT: 'ledger'})
-    core = world.add_node('a').core
-    sockets = await SocketNetwork().open_datagrams(Address('127.0.0.1', 0))
+def make_exchange(core: PacketCore, sockets: DatagramSocket) -> PeerExchange:
+    """Return a reader's exchange on a socket."""
     revision = core.store_cache.revision
-    exchange = PeerExchange(
+    subscription = Subscription(
+        name='r',
+        domain='a',
+        directory=core.updater,
+        store_cache=core.store_cache,
+        clock=time.monotonic,
+        rng=Random(1),
+    )
+    publisher = Publisher(
+        store_cache=core.store_cache,
+        log=ChangeLog(start=revision, end=revision),
+        clock=time.monotonic,
+        send=sockets.send,
+    )
+    return PeerExchange(
         socket=sockets,
-        subscription=Subscription(
-            name='r',
+        subscription=subscription,
+        publisher=publisher,
+        read_gate=SharedReadGate(subscription=subscription),
+        observations=ObservationExchange(
+            local_node=Reader(name='r', address=sockets.local),
             domain='a',
             directory=core.updater,
-            store_cache=core.store_cache,
-            clock=time.monotonic,
-            rng=Random(1),
-        ),
-        publisher=Publisher(
-            store_cache=core.store_cache,
-            log=ChangeLog(start=revision, end=revision),
+            sink=core.updater.placer.outages,
+            publisher=publisher,
             clock=time.monotonic,
             send=sockets.send,
         ),
     )
+
+
+async def main() -> None:
+    """Print the cost of one request."""
+    world = PacketWorld(seed=1)
+    world.put_manifest(1, {ROUTE_PORT: 'ledger'})
+    core = world.add_node('a').core
+    sockets = await SocketNetwork().open_datagrams(Address('127.0.0.1', 0))
+    exchange = make_exchange(core, sockets)
     busy, idle = await serve(exchange, sockets.local)
     each = (busy - idle) / ASKS * MICROSECONDS
     print(f'{each:.0f} us an ask, its sending included')
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -119,7 +119,7 @@
     """Run one feature in its own process."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
-        command = [
+        command: list[str | Path] = [
             BIN / 'behave',
             '--format=json',
             f'--outfile={report}',
