--- a/burdocksill/packets/breaker.py
+++ b/burdocksill/packets/breaker.py
@@ -16,13 +16,13 @@
     from typing import Final
 
 # The breaker stays open for this long after a missed opening. It doubles each
-# time that the breaker opens again before the domain has answered.
+# time that it opens again soon after it has expired without enough answers.
 BASE_OPEN_SECONDS: Final = 2.0
-# The breaker stays closed for this long after an answer of the domain. Where a
-# node sees many answers, the next ones soon show whether a packet was lost.
-ANSWERED_SECONDS: Final = 0.1
 # Store entries of failed upstreams have expired by then.
 MAX_OPEN_SECONDS: Final = 8.0
+# The breaker has no effect for this long after an answer of the domain. Where a
+# node sees many answers, the next ones soon show whether a packet was lost.
+ANSWERED_SECONDS: Final = 0.1
 # The breaker closes sooner when as many upstreams have answered as missed an
 # opening. This many answers are enough, however many were missed.
 MAX_ANSWERS_TO_CLOSE: Final = 3
@@ -66,7 +66,7 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Return True when more than one lost packet opened it."""
+        """Return True when several upstreams have missed an opening."""
         return len(self.missed) > 1
 
     def blocks(self, upstream: KnownUpstream, now: float) -> bool:
@@ -89,10 +89,11 @@
         self.missed.add(upstream)
 
     def reopen(self, now: float) -> None:
-        """Open the breaker, for longer if the domain has not answered since."""
-        is_repeated = now - self.last_missed_at <= 2 * MAX_OPEN_SECONDS
+        """Open the breaker, for longer if it has expired a short time ago."""
+        has_expired = self.opened_at <= now
+        is_recent = now - self.last_missed_at <= 2 * MAX_OPEN_SECONDS
         seconds = BASE_OPEN_SECONDS
-        if is_repeated and self.opened_at <= now:
+        if has_expired and is_recent:
             seconds = min(self.open_seconds * 2, MAX_OPEN_SECONDS)
         self.close()
         self.opened_at = now
--- a/burdocksill/packets/outages.py
+++ b/burdocksill/packets/outages.py
@@ -436,7 +436,7 @@
         return domain is not None and domain.is_avoided(now)
 
     def is_outage_confirmed(self, name: str, now: float) -> bool:
-        """Return True while more than one lost packet speaks against it."""
+        """Return True while several missed openings speak against a domain."""
         domain = self.domains.get(name)
         return domain is not None and (
             domain.is_suspected(now)
