Match rows of outlines in KNOWN-RED.txt

Seen: an entry that names a row of a scenario outline excuses nothing, and is reported as the name of no test. The names of such rows end with a space in behave's report, while names in the list are stripped.

--- a/tools/verify.py
+++ b/tools/verify.py
@@ -180,7 +180,8 @@
 ) -> None:
     """Count one scenario under its file and name, as line numbers change."""
     path = feature['location'].rpartition(':')[0]
-    name = f'{path}: {scenario["name"]}'
+    # The names of an outline's rows end with a space.
+    name = f'{path}: {scenario["name"].strip()}'
     if scenario['status'] == 'skipped' and name.startswith(MAY_SKIP):
         tally.skip(name)
     else:
