Log full reads that are dropped, and show the era of the store

Now each full read that is dropped is logged with its revision and the one that is known, and the metrics page has the store's era, which its answers carry in a header.

--- a/burdocksill/network/exchange.py
+++ b/burdocksill/network/exchange.py
@@ -22,12 +22,14 @@
     status: int = 0
     # Content-Length of the response; 0 until it is known.
     expected: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
     parts: list[bytes] = attrs.field(factory=list)
 
     def request(self, method: str, target: str, body: bytes = b'') -> bytes:
         """Return the bytes of a request."""
         self.status = 0
         self.expected = 0
+        self.headers = ()
         self.parts = []
         request = h11.Request(
             method=method,
@@ -52,7 +54,11 @@
             if event is h11.NEED_DATA:
                 return None
             if self.handle_event(event):
-                return HttpReply(status=self.status, body=b''.join(self.parts))
+                return HttpReply(
+                    status=self.status,
+                    body=b''.join(self.parts),
+                    headers=self.headers,
+                )
 
     def handle_event(self, event: object) -> bool:
         """Handle one h11 event; return True at the end of a response."""
@@ -61,6 +67,10 @@
         if isinstance(event, h11.Response):
             self.status = event.status_code
             self.expected = body_length(event)
+            self.headers = tuple(
+                (name.decode('latin-1'), text.decode('latin-1'))
+                for name, text in event.headers
+            )
         elif isinstance(event, h11.Data):
             self.parts.append(bytes(event.data))
         return isinstance(event, h11.EndOfMessage)
--- a/burdocksill/network/minimal_http.py
+++ b/burdocksill/network/minimal_http.py
@@ -29,7 +29,7 @@
 class MinimalHttpExchange:
     """Encode GET requests and decode responses, one exchange at a time."""
 
-    __slots__ = ('body_at', 'buffer', 'end_at', 'remote', 'status')
+    __slots__ = ('body_at', 'buffer', 'end_at', 'headers', 'remote', 'status')
 
     def __init__(self, *, remote: Address) -> None:
         """Start with an empty buffer."""
@@ -40,6 +40,7 @@
         self.body_at: int = 0
         self.end_at: int = 0
         self.status: int = 0
+        self.headers: dict[str, str] = {}
 
     def request(self, target: str) -> bytes:
         """Return the bytes of a request."""
@@ -60,7 +61,11 @@
         body = bytes(self.buffer[self.body_at : self.end_at])
         del self.buffer[: self.end_at]
         self.body_at = 0
-        return HttpReply(status=self.status, body=body)
+        return HttpReply(
+            status=self.status,
+            body=body,
+            headers=tuple(self.headers.items()),
+        )
 
     def find_head(self) -> bool:
         """Decode the head; return False until it is complete."""
@@ -69,15 +74,16 @@
             if len(self.buffer) > MAX_HEAD_BYTES:
                 raise MinimalHttpError('the response head is too long')
             return False
-        status, length = read_head(bytes(self.buffer[:end]))
+        status, headers = read_head(bytes(self.buffer[:end]))
         self.status = status
+        self.headers = headers
         self.body_at = end + len(END_OF_HEAD)
-        self.end_at = self.body_at + length
+        self.end_at = self.body_at + int(headers['content-length'])
         return True
 
 
-def read_head(head: bytes) -> tuple[int, int]:
-    """Return the status and Content-Length of a response head."""
+def read_head(head: bytes) -> tuple[int, dict[str, str]]:
+    """Return the status and headers of a response with Content-Length."""
     first, *lines = head.decode('latin-1').split('\r\n')
     version, _, rest = first.partition(' ')
     status = rest[:3]
@@ -88,4 +94,4 @@
     length = fields.get('content-length', '')
     if version != VERSION or not status.isdecimal() or not length.isdecimal():
         raise MinimalHttpError(f'unsupported response: {first!r}')
-    return int(status), int(length)
+    return int(status), fields
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -69,6 +69,7 @@
         found = {
             'manifest_version': updater.table.version,
             'store_revision': self.core.progress.revision,
+            'store_era': self.store_sync.era,
             'store_age_seconds': round(self.core.progress.age(), 3),
             'upstreams': len(known),
             'upstreams_aside': sum(one.health.is_ejected(now) for one in known),
--- a/burdocksill/packets/store_cache.py
+++ b/burdocksill/packets/store_cache.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from burdocksill.network.clock import Clock, boot_seconds
+from burdocksill.observe.early import EarlyLogger
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.platform.calls import item_bytes
 from burdocksill.platform.values import (
@@ -14,6 +15,8 @@
 )
 
 NEVER_SYNCED = float('-inf')
+
+logger = EarlyLogger(__name__)
 # Called with the previous revision and the changes since.
 Listener = Callable[[int, Snapshot], None]
 
@@ -105,6 +108,13 @@
         """Apply a full read, unless a peer has sent a newer revision."""
         self.updater.mark_store_available(self.clock())
         if found.revision < self.progress.revision:
+            logger.info(
+                'outdated reading dropped',
+                extra={
+                    'revision': found.revision,
+                    'known': self.progress.revision,
+                },
+            )
             return
         self.progress.needs_full_read = False
         self.apply(self.as_changes(found), synced_at)
--- a/burdocksill/platform/calls.py
+++ b/burdocksill/platform/calls.py
@@ -18,6 +18,8 @@
 
 # Overhead of an item in an answer, beside its key and value.
 ITEM_OVERHEAD_BYTES: Final = 90
+# Header of all answers that counts how often the store was restored.
+ERA_HEADER: Final = 'store-era'
 
 
 def item_bytes(stored: StoredValue) -> int:
@@ -97,6 +99,12 @@
         last = page[-1].key
 
 
+def read_era(reply: HttpReply, default: int = 0) -> int:
+    """Return the era of the store in an answer, the default if missing."""
+    text = reply.header(ERA_HEADER)
+    return int(text) if text.isdecimal() else default
+
+
 def decode_watch(target: str, reply: HttpReply) -> Snapshot:
     """Decode the changes in a watch's answer."""
     answer = decode_body(target, reply)
--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -18,6 +18,7 @@
     decode_watch,
     key_target,
     range_pages,
+    read_era,
     watch_target,
     write_body,
 )
@@ -56,6 +57,8 @@
     received_bytes: int = 0
     # Number of calls whose answer was received only in part.
     truncated: int = 0
+    # Highest era of the store in an answer; it rises with each restore.
+    era: int = 0
 
     async def call(
         self,
@@ -90,6 +93,7 @@
                 f'{method} {target}', error
             ) from error
         self.count(reply.status)
+        self.era = max(self.era, read_era(reply))
         if reply.status == GONE:
             raise PlatformCompactedError(revision=0)
         if reply.status not in {OK, CONFLICT, NOT_FOUND}:
