Add failing tests: changes after a restore of the store reach no node

A manifest and an announcement written 5 s later are on no node after 2 s (all show the version before).

The stand-in of the store now sends its era and answers 410 to a watch from a revision that it does not have.

--- /dev/null
+++ b/burdocksill_lab/packets/drill.py
@@ -0,0 +1,112 @@
+"""Restore of a simulated store from a copy, as in a drill."""
+
+from random import Random
+from typing import Final
+
+import attrs
+import trio
+
+from burdocksill_lab.packets.fleet import SharedFleet
+from burdocksill_lab.packets.store import (
+    READ_ONLY_PREFIXES,
+    Item,
+    LabStore,
+    Lease,
+    StoreFault,
+)
+
+# Time within which operators and upstreams write again what was lost.
+MAX_REWRITE_SECONDS: Final = 1.8
+
+
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """Copy of a store from which it can be restored."""
+
+    revision: int
+    items: dict[str, Item]
+    history: list[Item]
+    leases: dict[int, Lease]
+
+
+def copy_store(store: LabStore) -> StoreCopy:
+    """Return a copy of a store."""
+    return StoreCopy(
+        revision=store.revision,
+        items=dict(store.items),
+        history=list(store.history),
+        leases=dict(store.leases),
+    )
+
+
+def restore_store(store: LabStore, saved: StoreCopy) -> None:
+    """Lose all changes since a copy, and begin the next era.
+
+    Leases of the copy run for their whole time again.
+    """
+    now = trio.current_time()
+    store.revision = saved.revision
+    store.items = dict(saved.items)
+    store.history = list(saved.history)
+    store.leases = {
+        number: Lease(seconds=lease.seconds, expires_at=now + lease.seconds)
+        for number, lease in saved.leases.items()
+    }
+    if store.era is not None:
+        store.era += 1
+    # Watches from a revision that is lost end.
+    waiting = store.changed
+    store.changed = trio.Event()
+    waiting.set()
+
+
+@attrs.define(kw_only=True)
+class RestoreDrill:
+    """Copy a store, and restore it later.
+
+    Operators and upstreams write again what the restore lost, each key at a
+    random time. Nodes have to do so for their own keys.
+    """
+
+    fleet: SharedFleet
+    rng: Random
+    saved: StoreCopy = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Copy the store."""
+        self.saved = copy_store(self.store)
+
+    @property
+    def store(self) -> LabStore:
+        """Return the store of the fleet."""
+        return self.fleet.store
+
+    async def restore(
+        self, away_seconds: float, fault: StoreFault = StoreFault.RESET
+    ) -> None:
+        """Let the store fail for some seconds, then restore it."""
+        self.store.injected_fault = fault
+        await self.fleet.run(away_seconds)
+        self.store.injected_fault = StoreFault.NONE
+        latest = self.store.items
+        restore_store(self.store, self.saved)
+        for key in sorted(latest.keys() | self.saved.items.keys()):
+            lost = latest.get(key)
+            if key.startswith(READ_ONLY_PREFIXES) and lost != self.read(key):
+                self.fleet.nursery.start_soon(self.write_again, key, lost)
+
+    def read(self, key: str) -> Item | None:
+        """Return what the store holds under a key."""
+        return self.store.items.get(key)
+
+    async def write_again(self, key: str, lost: Item | None) -> None:
+        """Repeat the last write of a key, unless there is a later one."""
+        restored = self.read(key)
+        era = self.store.era
+        await trio.sleep(self.rng.uniform(0, MAX_REWRITE_SECONDS))
+        if self.read(key) != restored or self.store.era != era:
+            return
+        if lost is None:
+            self.store.remove(key)
+        else:
+            self.store.put(key, lost.value)
--- a/burdocksill_lab/packets/store.py
+++ b/burdocksill_lab/packets/store.py
@@ -82,6 +82,8 @@
     """In-memory key-value store with revisions, watches and leases."""
 
     revision: int = 10
+    # Number of restores, sent with each answer; None sends no header.
+    era: int | None = 0
     items: dict[str, Item] = attrs.field(factory=dict)
     history: list[Item] = attrs.field(factory=list)
     # Watches that start before this revision get 410.
@@ -194,7 +196,7 @@
                 return
             if number <= self.unanswered_up_to:
                 await trio.sleep_forever()
-            encoded = write_reply(protocol, reply)
+            encoded = write_reply(protocol, reply, self.era)
             if self.injected_fault is StoreFault.HALF:
                 await stream.send_all(encoded[: len(encoded) // 2])
                 await trio.sleep_forever()
@@ -289,10 +291,10 @@
         with trio.move_on_after(int(query['WaitMs']) / MILLISECONDS):
             while (
                 not self.changes_after(after, prefix)
-                and after >= self.compacted
+                and self.compacted <= after <= self.revision
             ):
                 await self.changed.wait()
-        if after < self.compacted:
+        if not self.compacted <= after <= self.revision:
             return HttpReply(status=GONE)
         events = [item.to_json() for item in self.changes_after(after, prefix)]
         return json_reply({'events': events, 'AsOf': self.revision})
@@ -384,15 +386,17 @@
             return b''.join(parts)
 
 
-def write_reply(protocol: h11.Connection, reply: HttpReply) -> bytes:
+def write_reply(
+    protocol: h11.Connection, reply: HttpReply, era: int | None
+) -> bytes:
     """Return the bytes of an answer; the connection is kept open."""
-    head = h11.Response(
-        status_code=reply.status,
-        headers=[
-            ('Content-Type', reply.media_type),
-            ('Content-Length', str(len(reply.body))),
-        ],
-    )
+    headers = [
+        ('Content-Type', reply.media_type),
+        ('Content-Length', str(len(reply.body))),
+    ]
+    if era is not None:
+        headers.append(('Store-Era', str(era)))
+    head = h11.Response(status_code=reply.status, headers=headers)
     out = protocol.send(head) or b''
     out += protocol.send(h11.Data(data=reply.body)) or b''
     return out + (protocol.send(h11.EndOfMessage()) or b'')
--- /dev/null
+++ b/tests/steps/readers_restored.py
@@ -0,0 +1,92 @@
+"""Steps about a store that is restored from a copy."""
+
+from random import Random
+
+import trio
+from behave import then, when
+from behave.runner import Context
+from reading_script import (
+    UPSTREAM_COUNT,
+    add_check,
+    add_step,
+    put_upstream,
+    start_measuring,
+)
+
+from burdocksill_lab.packets.drill import RestoreDrill
+from burdocksill_lab.packets.fleet import FleetNode, SharedFleet
+
+
+@when('the store is copied')
+def copy_store(context: Context) -> None:
+    """Copy the store; what is written from here on is lost."""
+
+    async def step(fleet: SharedFleet) -> None:
+        context.drill = RestoreDrill(fleet=fleet, rng=Random(context.seed))
+
+    add_step(context, step)
+
+
+@when('{count:d} changes are written')
+def write_changes(context: Context, count: int) -> None:
+    """Write manifests and upstreams, 0.1 s apart."""
+
+    async def step(fleet: SharedFleet) -> None:
+        for number in range(count):
+            if number % 2:
+                fleet.put_version()
+            else:
+                put_upstream(fleet, UPSTREAM_COUNT + number)
+            await fleet.run(0.1)
+
+    add_step(context, step)
+
+
+@when('the store is away for {seconds:f} seconds and restored from the copy')
+def restore(context: Context, seconds: float) -> None:
+    """Restore the store, and count calls from then on."""
+
+    async def step(fleet: SharedFleet) -> None:
+        await context.drill.restore(seconds)
+        start_measuring(context.script, fleet)
+
+    add_step(context, step)
+
+
+@when('upstream {number:d} announces that it leaves')
+def leave(context: Context, number: int) -> None:
+    """Write that an upstream leaves."""
+
+    async def step(fleet: SharedFleet) -> None:
+        put_upstream(fleet, number, 'draining')
+
+    add_step(context, step)
+
+
+@then('no node sends new flows to upstream {number:d}')
+def check_left(context: Context, number: int) -> None:
+    """Check that no node offers the upstream new flows."""
+
+    async def step(fleet: SharedFleet) -> None:
+        name = upstream_name(number)
+        wrong = [
+            node.settings.name
+            for node in fleet.living()
+            if name in available_upstreams(node)
+        ]
+        assert not wrong, wrong
+
+    add_check(context, step)
+
+
+def upstream_name(number: int) -> str:
+    """Return the name under which `put_upstream` writes."""
+    return f'i-{number + 1:08x}'
+
+
+def available_upstreams(node: FleetNode) -> set[str]:
+    """Return the names of upstreams to which a node sends new flows."""
+    registry = node.core.updater.upstreams
+    now = trio.current_time()
+    found = registry.available_in_service('ledger', now)
+    return {upstream.record.name for upstream in found}
