Go on from the state of a store that was restored from a copy

Cause: a revision was taken to grow for ever. Nodes dropped each full read of a lower revision and asked for another at once, and later applied only entries above the revision from before, so that what was written in between was never seen.

Ruled out: lost leases (renewed with success) and late answers.

Change: the platform adapter reads the era that the store sends with each answer and puts it above the revision's number, so that all that compares revisions (cache, change log, subscriptions, elections, datagrams) is right again. A watch from before a restore is an error of its own (E111) that leads to a full read; what differs there from the cache is applied and told to followers, with the changes of each era, so that one full read a domain is enough. Pages of one read are of one era, and no write expects a revision of an earlier one. Absences are counted from the restore, as after an outage. Nodes of older builds know no eras: datagrams with revisions have new kinds, so that neither takes the other's word for current; each then reads the store itself.

The new scenarios of platform/store.feature and exchange.feature need the new types.

--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -5,6 +5,7 @@
 from burdocksill.observe.counters import Counters
 from burdocksill.packets.core import PacketCore
 from burdocksill.packets.sync import StoreSync
+from burdocksill.platform.revisions import era_of, number_of
 
 
 @attrs.define(kw_only=True, eq=False, repr=False)
@@ -68,8 +69,8 @@
         known = updater.upstreams.by_name.values()
         found = {
             'manifest_version': updater.table.version,
-            'store_revision': self.core.progress.revision,
-            'store_era': self.store_sync.era,
+            'store_revision': number_of(self.core.progress.revision),
+            'store_era': era_of(self.core.progress.revision),
             'store_age_seconds': round(self.core.progress.age(), 3),
             'upstreams': len(known),
             'upstreams_aside': sum(one.health.is_ejected(now) for one in known),
--- a/burdocksill/packets/store_cache.py
+++ b/burdocksill/packets/store_cache.py
@@ -8,10 +8,12 @@
 from burdocksill.observe.early import EarlyLogger
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.platform.calls import item_bytes
+from burdocksill.platform.revisions import era_of, show_revision
 from burdocksill.platform.values import (
     Snapshot,
     StoredValue,
     newest_of_each,
+    split_by_era,
 )
 
 NEVER_SYNCED = float('-inf')
@@ -22,7 +24,11 @@
 
 
 class SyncProgress:
-    """Revision and time of the last synchronisation; both only grow."""
+    """Revision and time of the last synchronisation; both only grow.
+
+    A restore of the store from a copy begins a new era, whose revisions are
+    higher than all before.
+    """
 
     __slots__ = ('clock', 'needs_full_read', 'revision', 'synced_at')
 
@@ -66,7 +72,14 @@
     newer than the current revision are applied.
     """
 
-    __slots__ = ('clock', 'key_bytes', 'listeners', 'progress', 'updater')
+    __slots__ = (
+        'clock',
+        'digests',
+        'key_bytes',
+        'listeners',
+        'progress',
+        'updater',
+    )
 
     def __init__(
         self,
@@ -84,6 +97,8 @@
         self.listeners: list[Listener] = []
         # The keys in the store, with the bytes of each in an answer.
         self.key_bytes: dict[str, int] = {}
+        # Hashes of the values in the store, by key.
+        self.digests: dict[str, int] = {}
 
     @property
     def revision(self) -> int:
@@ -111,8 +126,8 @@
             logger.info(
                 'outdated reading dropped',
                 extra={
-                    'revision': found.revision,
-                    'known': self.progress.revision,
+                    'revision': show_revision(found.revision),
+                    'known': show_revision(self.progress.revision),
                 },
             )
             return
@@ -138,25 +153,48 @@
 
     def apply_newer(self, found: Snapshot, synced_at: float) -> None:
         """Apply the changes that are newer than the current revision."""
-        before = self.progress.revision
-        # Skips decoding versions of a manifest that were replaced since.
-        newest = newest_of_each(found.values)
-        newer = tuple(one for one in newest if one.revision > before)
-        self.apply(found.evolve(values=newer), synced_at)
+        for part in split_by_era(found):
+            before = self.progress.revision
+            # Skips decoding versions of a manifest that were replaced since.
+            newest = newest_of_each(part.values)
+            newer = tuple(one for one in newest if one.revision > before)
+            self.apply(part.evolve(values=newer), synced_at)
 
     def apply(self, newer: Snapshot, synced_at: float) -> None:
-        """Apply changes and record the revision."""
+        """Apply changes of one era and record the revision."""
+        if self.begins_era(newer.revision):
+            self.begin_era(newer)
         self.updater.apply_values(newer, self.clock())
         self.record_changes(newer, synced_at)
 
+    def begins_era(self, revision: int) -> bool:
+        """Return True if a revision is of a later era than the cached one."""
+        before = self.progress.revision
+        return before > 0 and era_of(revision) > era_of(before)
+
+    def begin_era(self, newer: Snapshot) -> None:
+        """Record that the store was restored from a copy."""
+        logger.warning(
+            'store restored',
+            extra={
+                'era': era_of(newer.revision),
+                'revision': show_revision(newer.revision),
+                'before': show_revision(self.progress.revision),
+                'changed': len(newer.values),
+            },
+        )
+        self.updater.begin_era(era_of(newer.revision), self.clock())
+
     def record_changes(self, newer: Snapshot, synced_at: float) -> None:
-        """Record the revision and key sizes, and call the listeners."""
+        """Record the revision and the keys, and call the listeners."""
         before = self.progress.revision
         for one in newer.values:
             if one.removed:
                 self.key_bytes.pop(one.key, None)
+                self.digests.pop(one.key, None)
             else:
                 self.key_bytes[one.key] = item_bytes(one)
+                self.digests[one.key] = hash(one.value)
         self.progress.advance_to(newer.revision, synced_at)
         for listener in self.listeners:
             listener(before, newer)
@@ -168,8 +206,7 @@
         Values that are already cached are left out, as decoding a large
         manifest again would delay packets.
         """
-        before = self.progress.revision
-        removed_keys = self.key_bytes.keys() - {one.key for one in found.values}
+        removed_keys = self.digests.keys() - {one.key for one in found.values}
         removed = (
             StoredValue(
                 key=key,
@@ -179,5 +216,19 @@
             )
             for key in sorted(removed_keys)
         )
-        written = (one for one in found.values if one.revision > before)
+        written = filter(
+            self.differs if self.begins_era(found.revision) else self.is_newer,
+            found.values,
+        )
         return found.evolve(values=(*written, *removed))
+
+    def is_newer(self, stored: StoredValue) -> bool:
+        """Return True if a value was written after the cached revision."""
+        return stored.revision > self.progress.revision
+
+    def differs(self, stored: StoredValue) -> bool:
+        """Return True if a value differs from the cached one.
+
+        After a restore, revisions do not tell which values have changed.
+        """
+        return self.digests.get(stored.key) != hash(stored.value)
--- a/burdocksill/packets/sync.py
+++ b/burdocksill/packets/sync.py
@@ -74,11 +74,6 @@
             calls.update(platform.calls)
         return calls
 
-    @property
-    def era(self) -> int:
-        """Return the highest era of the store in an answer."""
-        return max(platform.era for platform in self.platforms)
-
     @property
     def received_bytes(self) -> int:
         """Return the bytes received from the store."""
--- a/burdocksill/packets/updater.py
+++ b/burdocksill/packets/updater.py
@@ -18,6 +18,11 @@
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.upstreams import UpstreamRegistry
 from burdocksill.platform.exceptions import RecordInvalidError
+from burdocksill.platform.revisions import (
+    join_revision,
+    number_of,
+    show_revision,
+)
 from burdocksill.platform.values import Snapshot, StoredValue
 from burdocksill.readers.messages import ReaderEntry
 
@@ -81,6 +86,18 @@
         self.upstreams.store_healthy_since = max(known, since)
         self.has_adopted_healthy_since = True
 
+    def begin_era(self, era: int, now: float) -> None:
+        """Record that the store was restored from a copy.
+
+        What is missing in the copy may be written again, as after an outage.
+        Entries of readers that did not change keep their number in the new era.
+        """
+        self.upstreams.store_healthy_since = now
+        self.has_adopted_healthy_since = True
+        for domain, entry in self.readers.items():
+            revision = join_revision(era, number_of(entry.revision))
+            self.readers[domain] = entry.evolve(revision=revision)
+
     def apply(self, update: StoreUpdate, now: float) -> None:
         """Apply one update."""
         match update:
@@ -134,7 +151,7 @@
             extra={
                 'domain': entry.domain,
                 'reader': entry.reader.name if entry.reader else '',
-                'revision': entry.revision,
+                'revision': show_revision(entry.revision),
             },
         )
 
--- a/burdocksill/packets/watcher.py
+++ b/burdocksill/packets/watcher.py
@@ -13,9 +13,11 @@
 from burdocksill.platform.exceptions import (
     PlatformAnswerTooLargeError,
     PlatformCompactedError,
+    PlatformRestoredError,
     PlatformTruncatedAnswerError,
     PlatformUnavailableError,
 )
+from burdocksill.platform.revisions import show_revision
 from burdocksill.platform.values import Snapshot
 
 # Backoff after a failed call: doubles from the first to the highest value, with
@@ -60,8 +62,9 @@
         """Wait up to `wait` seconds for changes after a revision.
 
         Raise PlatformAnswerTooLargeError for changes of more than `largest`
-        bytes, and PlatformUnavailableError if no answer begins within `margin`
-        seconds after the wait.
+        bytes, PlatformUnavailableError if no answer begins within `margin`
+        seconds after the wait, and PlatformRestoredError if the store does not
+        have the revision since it was restored.
         """
 
 
@@ -113,7 +116,7 @@
             await self.read_gate.wait()
             try:
                 await self.step()
-            except PlatformCompactedError as error:
+            except (PlatformCompactedError, PlatformRestoredError) as error:
                 self.record_failure(error)
                 # Changes were missed, so a full read is needed.
                 self.store_cache.progress.needs_full_read = True
@@ -121,7 +124,7 @@
                 logger.info(
                     'changes left for a whole reading',
                     extra={
-                        'revision': self.store_cache.revision,
+                        'revision': show_revision(self.store_cache.revision),
                         'expected_bytes': error.expected,
                         'whole_bytes': self.store_cache.full_read_bytes(),
                     },
@@ -144,7 +147,7 @@
             found = await self.changes()
         self.backoff = FIRST_BACKOFF_SECONDS
         self.state_logger.log_change(
-            'store followed', revision=str(found.revision)
+            'store followed', revision=show_revision(found.revision)
         )
         self.read_gate.called(answered=True)
         if found.values:
@@ -165,7 +168,7 @@
             logger.info(
                 'watch made again',
                 extra={
-                    'revision': self.store_cache.revision,
+                    'revision': show_revision(self.store_cache.revision),
                     'age_s': round(self.store_cache.age(), 3),
                     'cause': str(error),
                 },
@@ -220,7 +223,7 @@
         self.state_logger.log_change(
             'store lost',
             level=logging.WARNING,
-            revision=str(self.store_cache.revision),
+            revision=show_revision(self.store_cache.revision),
             cause=str(error),
         )
         if isinstance(error, PlatformTruncatedAnswerError):
@@ -228,7 +231,7 @@
             logger.warning(
                 'answer cut short',
                 extra={
-                    'revision': self.store_cache.revision,
+                    'revision': show_revision(self.store_cache.revision),
                     'received_bytes': error.received,
                     'expected_bytes': error.expected,
                 },
--- a/burdocksill/platform/calls.py
+++ b/burdocksill/platform/calls.py
@@ -9,6 +9,7 @@
 
 from burdocksill.network.reply import HttpReply
 from burdocksill.platform.exceptions import PlatformReplyError
+from burdocksill.platform.revisions import era_of, join_revision, number_of
 from burdocksill.platform.values import Snapshot, StoredValue
 
 TYPE_CHECKING = False
@@ -47,7 +48,7 @@
 
 def watch_target(prefix: str, after: int, wait_milliseconds: int) -> str:
     """Return the target of a call that waits for changes."""
-    query = f'after={after}&WaitMs={wait_milliseconds}'
+    query = f'after={number_of(after)}&WaitMs={wait_milliseconds}'
     return f'/-/kv-watch?Prefix={quote(prefix)}&{query}'
 
 
@@ -72,49 +73,62 @@
     if lease:
         row['Lease'] = lease
     wanted = {
-        'Expect': [{'Key': key, 'Rev': expected}],
+        'Expect': [{'Key': key, 'Rev': number_of(expected)}],
         'Puts': [row],
         'Delete': [],
     }
     return json.dumps(wanted).encode()
 
 
-def range_pages(prefix: str) -> Generator[str, HttpReply, Snapshot]:
+def range_pages(
+    prefix: str, known_era: int = 0
+) -> Generator[str, HttpReply, Snapshot]:
     """Yield the targets of all pages of a prefix; return a snapshot.
 
     The store may change between pages, so the snapshot has the revision of the
-    first page: a watch from there delivers the changes since then again.
+    first page: a watch from there delivers the changes since then again. If it
+    is restored between two pages, the first one is read again.
     """
     values: list[StoredValue] = []
     revision = 0
     last = ''
     while True:
         target = range_target(prefix, last)
-        answer = decode_body(target, (yield target))
-        page = decode_items(answer, 'items')
+        reply = yield target
+        era = read_era(reply, known_era)
+        if revision and era != era_of(revision):
+            values = []
+            revision = 0
+            last = ''
+            continue
+        answer = decode_body(target, reply)
+        page = decode_items(answer, 'items', era)
         values.extend(page)
-        revision = revision or decode_revision(answer)
+        revision = revision or decode_revision(answer, era)
         if not answer.get('HasMore') or not page:
             return Snapshot(values=tuple(values), revision=revision)
         last = page[-1].key
 
 
-def read_era(reply: HttpReply, default: int = 0) -> int:
-    """Return the era of the store in an answer, the default if missing."""
+def read_era(reply: HttpReply, known_era: int = 0) -> int:
+    """Return the era of the store in an answer, the known one if missing."""
     text = reply.header(ERA_HEADER)
-    return int(text) if text.isdecimal() else default
+    return int(text) if text.isdecimal() else known_era
 
 
-def decode_watch(target: str, reply: HttpReply) -> Snapshot:
+def decode_watch(target: str, reply: HttpReply, known_era: int) -> Snapshot:
     """Decode the changes in a watch's answer."""
     answer = decode_body(target, reply)
+    era = read_era(reply, known_era)
     return Snapshot(
-        values=tuple(decode_items(answer, 'events')),
-        revision=decode_revision(answer),
+        values=tuple(decode_items(answer, 'events', era)),
+        revision=decode_revision(answer, era),
     )
 
 
-def decode_items(answer: dict[str, Any], name: str) -> list[StoredValue]:
+def decode_items(
+    answer: dict[str, Any], name: str, era: int
+) -> list[StoredValue]:
     """Decode a list of items."""
     found = answer.get(name, [])
     if not isinstance(found, list):
@@ -122,21 +136,21 @@
             message=f'{name} is not a list: {found!r}',
             hint='check the address of the store',
         )
-    return [decode_item(item) for item in found]
+    return [decode_item(item, era) for item in found]
 
 
-def decode_revision(answer: dict[str, Any]) -> int:
+def decode_revision(answer: dict[str, Any], era: int) -> int:
     """Return the revision of the store in an answer."""
-    revision = answer.get('AsOf')
-    if not isinstance(revision, int):
+    number = answer.get('AsOf')
+    if not isinstance(number, int):
         raise PlatformReplyError(
-            message=f'AsOf is not an integer: {revision!r}',
+            message=f'AsOf is not an integer: {number!r}',
             hint='check the address of the store',
         )
-    return revision
+    return join_revision(era, number)
 
 
-def decode_item(item: dict[str, Any]) -> StoredValue:
+def decode_item(item: dict[str, Any], era: int) -> StoredValue:
     """Decode one item; a removed one has an empty value."""
     try:
         return StoredValue(
@@ -145,7 +159,7 @@
                 item.get('Value') or '',
                 validate=True,
             ),
-            revision=int(item.get('Rev', 0)),
+            revision=join_revision(era, int(item.get('Rev', 0))),
             removed=bool(item.get('Removed')),
         )
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
--- a/burdocksill/platform/exceptions.py
+++ b/burdocksill/platform/exceptions.py
@@ -1,6 +1,7 @@
 """Errors of calls to the platform service."""
 
 from burdocksill.exceptions import BurdocksillError
+from burdocksill.platform.revisions import show_revision
 
 
 class PlatformUnavailableError(BurdocksillError):
@@ -61,6 +62,21 @@
         self.revision = revision
 
 
+class PlatformRestoredError(BurdocksillError):
+    """The store was restored from a copy since the revision in a call."""
+
+    code = 'burdocksill.E111'
+
+    def __init__(self, *, era: int, revision: int) -> None:
+        """Store the era of the store, and the revision in the call."""
+        super().__init__(
+            message=f'revision {show_revision(revision)} is not of era {era}',
+            hint='do a full read; the state in force is kept',
+        )
+        self.era = era
+        self.revision = revision
+
+
 class RecordInvalidError(BurdocksillError):
     """An entry of the store is invalid and is ignored."""
 
--- a/burdocksill/platform/store.py
+++ b/burdocksill/platform/store.py
@@ -27,10 +27,12 @@
     PlatformCompactedError,
     PlatformRefusedError,
     PlatformReplyError,
+    PlatformRestoredError,
     PlatformTruncatedAnswerError,
     PlatformUnavailableError,
 )
 from burdocksill.platform.protocols import SwapResult
+from burdocksill.platform.revisions import era_of, join_revision
 from burdocksill.platform.values import Snapshot, StoredValue
 
 # Time until an answer must begin, above what a store in trouble takes.
@@ -93,7 +95,7 @@
                 f'{method} {target}', error
             ) from error
         self.count(reply.status)
-        self.era = max(self.era, read_era(reply))
+        self.era = max(self.era, read_era(reply, self.era))
         if reply.status == GONE:
             raise PlatformCompactedError(revision=0)
         if reply.status not in {OK, CONFLICT, NOT_FOUND}:
@@ -143,11 +145,12 @@
         reply = await self.call('GET', target, timeout=timeout)
         if reply.status == NOT_FOUND:
             return None
-        return decode_item(decode_body(target, reply))
+        era = read_era(reply, self.era)
+        return decode_item(decode_body(target, reply), era)
 
     async def read_prefix(self, prefix: str) -> Snapshot:
         """Return all values with a prefix."""
-        pages = range_pages(prefix)
+        pages = range_pages(prefix, self.era)
         target = next(pages)
         while True:
             reply = await self.call('GET', target)
@@ -169,18 +172,30 @@
         """Wait up to `wait` seconds for changes after a revision.
 
         Raise PlatformAnswerTooLargeError for changes of more than `largest`
-        bytes, and PlatformUnavailableError if no answer begins within `margin`
-        seconds after the wait.
+        bytes, PlatformUnavailableError if no answer begins within `margin`
+        seconds after the wait, and PlatformRestoredError if the store does not
+        have the revision since it was restored.
         """
         target = watch_target(prefix, after, round(wait * MILLISECONDS))
         timeout = wait + margin
-        reply = await self.call(
-            'GET',
-            target,
-            timeout=timeout,
-            largest=largest,
-        )
-        found = decode_watch(target, reply)
+        try:
+            reply = await self.call(
+                'GET',
+                target,
+                timeout=timeout,
+                largest=largest,
+            )
+        except PlatformCompactedError as error:
+            if self.era > era_of(after):
+                raise PlatformRestoredError(
+                    era=self.era, revision=after
+                ) from error
+            raise
+        found = decode_watch(target, reply, self.era)
+        if era_of(found.revision) != era_of(after):
+            raise PlatformRestoredError(
+                era=era_of(found.revision), revision=after
+            )
         if found.values:
             return found
         return found.evolve(unchanged_seconds=wait)
@@ -214,8 +229,14 @@
         If the answer is lost, the write may still take effect later, so the
         key is read back. Either it has the new value, or it still has the
         expected revision and PlatformUnavailableError tells the caller to try
-        again with the same condition.
+        again with the same condition. Raise PlatformRestoredError if the store
+        is known to have been restored since the expected revision: another
+        value may have its number now.
         """
+        if expected_revision and era_of(expected_revision) < self.era:
+            raise PlatformRestoredError(
+                era=self.era, revision=expected_revision
+            )
         body = write_body(key, value, expected_revision, lease)
         try:
             reply = await self.call('POST', '/-/kv-txn', body)
@@ -223,8 +244,10 @@
             raise
         except PlatformUnavailableError:
             return await self.read_back(key, value, expected_revision)
+        era = read_era(reply, self.era)
         if reply.status == OK:
-            revision = int(decode_body('/-/kv-txn', reply).get('Rev', 0))
+            number = int(decode_body('/-/kv-txn', reply).get('Rev', 0))
+            revision = join_revision(era, number)
             written = StoredValue(key=key, value=value, revision=revision)
             return SwapResult(accepted=True, revision=revision, current=written)
         if reply.status == NOT_FOUND:
@@ -233,7 +256,7 @@
                 hint='request a new lease',
             )
         # The answer contains the values that are stored now.
-        shown = decode_items(decode_body('/-/kv-txn', reply), 'items')
+        shown = decode_items(decode_body('/-/kv-txn', reply), 'items', era)
         current = next((one for one in shown if one.key == key), None)
         revision = current.revision if current else 0
         return SwapResult(accepted=False, revision=revision, current=current)
--- a/burdocksill/platform/values.py
+++ b/burdocksill/platform/values.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
+from burdocksill.platform.revisions import era_of
 from burdocksill.values import Value
 
 
 class StoredValue(Value):
-    """A key with its value and revision; revision 0 means absent."""
+    """A key with its value and revision; revision 0 means absent.
+
+    Revisions grow over restores of the store, see `revisions`.
+    """
 
     __slots__ = ('key', 'removed', 'revision', 'value')
 
@@ -47,6 +51,19 @@
         self.unchanged_seconds = unchanged_seconds
 
 
+def split_by_era(found: Snapshot) -> Iterator[Snapshot]:
+    """Yield changes as one snapshot for each era of the store, oldest first."""
+    changes_of: dict[int, list[StoredValue]] = {}
+    for change in found.values:
+        changes_of.setdefault(era_of(change.revision), []).append(change)
+    last = changes_of.pop(era_of(found.revision), [])
+    for era in sorted(changes_of):
+        changes = tuple(changes_of[era])
+        revision = max(earlier.revision for earlier in changes)
+        yield Snapshot(values=changes, revision=revision)
+    yield found.evolve(values=tuple(last))
+
+
 def newest_of_each(changes: Iterable[StoredValue]) -> tuple[StoredValue, ...]:
     """Return the last change of each key, in the order of the changes."""
     newest: dict[str, StoredValue] = {}
--- a/burdocksill/readers/election.py
+++ b/burdocksill/readers/election.py
@@ -9,6 +9,7 @@
 
 from burdocksill.network.clock import Clock
 from burdocksill.platform.protocols import SwapResult
+from burdocksill.platform.revisions import show_revision
 from burdocksill.readers.messages import Reader, ReaderEntry
 from burdocksill.readers.protocols import ReaderRegistry
 
@@ -141,7 +142,10 @@
         else:
             logger.info(
                 'another node reads for the domain',
-                extra={'domain': self.domain, 'revision': result.revision},
+                extra={
+                    'domain': self.domain,
+                    'revision': show_revision(result.revision),
+                },
             )
 
     def record_renewal(self, started_at: float, *, is_alive: bool) -> None:
--- a/burdocksill/readers/subscription.py
+++ b/burdocksill/readers/subscription.py
@@ -9,6 +9,7 @@
 
 from burdocksill.network.addresses import Address
 from burdocksill.network.clock import Clock
+from burdocksill.platform.revisions import show_revision
 from burdocksill.platform.values import Snapshot
 from burdocksill.readers.datagrams import Offer, Update, UpdateRequest
 from burdocksill.readers.messages import Reader
@@ -231,8 +232,8 @@
             logger.info(
                 'changes left to the store',
                 extra={
-                    'revision': self.store_cache.revision,
-                    'newest': update.revision,
+                    'revision': show_revision(self.store_cache.revision),
+                    'newest': show_revision(update.revision),
                     'reader': str(sender),
                 },
             )
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -17,11 +17,13 @@
 )
 from burdocksill.readers.messages import Observation
 
-UPDATE_REQUEST_KIND: Final = 1
-# 2 is reserved: older nodes send another layout under it.
-UPDATE_KIND: Final = 5
+# 1, 2, 4 and 5 are reserved: older nodes use them for messages whose revisions
+# have no era, so that nodes of both kinds must not tell each other that they
+# are current.
 OBSERVATIONS_KIND: Final = 3
-OFFER_KIND: Final = 4
+UPDATE_REQUEST_KIND: Final = 6
+UPDATE_KIND: Final = 7
+OFFER_KIND: Final = 8
 # Kind, token, revision.
 UPDATE_REQUEST: Final = struct.Struct('>BQQ')
 # Kind, token, after, revision, age, stable, followers, whether changes follow.
--- a/burdocksill_lab/packets/drill.py
+++ b/burdocksill_lab/packets/drill.py
@@ -39,12 +39,11 @@
     )
 
 
-def restore_store(store: LabStore, saved: StoreCopy) -> None:
+def restore_store(store: LabStore, saved: StoreCopy, now: float) -> None:
     """Lose all changes since a copy, and begin the next era.
 
     Leases of the copy run for their whole time again.
     """
-    now = trio.current_time()
     store.revision = saved.revision
     store.items = dict(saved.items)
     store.history = list(saved.history)
@@ -89,7 +88,7 @@
         await self.fleet.run(away_seconds)
         self.store.injected_fault = StoreFault.NONE
         latest = self.store.items
-        restore_store(self.store, self.saved)
+        restore_store(self.store, self.saved, trio.current_time())
         for key in sorted(latest.keys() | self.saved.items.keys()):
             lost = latest.get(key)
             if key.startswith(READ_ONLY_PREFIXES) and lost != self.read(key):
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -32,6 +32,45 @@
     And a key is written and the history compacted
     Then the next changes fail with "burdocksill.E106"
 
+  Scenario Outline: A watch from before a restore is a distinct error
+    Guards against changes that are taken for those after a lost revision.
+    Given a store with 3 keys in pages of 500
+    When everything is read
+    And the store is restored from a copy of before, with <changes> changes since
+    Then the next changes fail with "burdocksill.E111"
+
+    Examples:
+      | changes |
+      | 0       |
+      | 1       |
+      | 9       |
+
+  Scenario: Revisions after a restore exceed all before
+    Guards against a state after a restore that counts as outdated.
+    Given a store with 3 keys in pages of 500
+    When everything is read
+    And the store is restored from a copy of before, with 1 changes since
+    Then a full read has a higher revision than the last
+
+  Scenario: Pages of a full read are of one era
+    Guards against a list that mixes states before and after a restore.
+    Given a store with 5 keys in pages of 2
+    When the store is restored between two pages of a full read
+    Then the full read has the keys and the era of the restored store
+
+  Scenario: A write expects no revision of before a restore
+    Guards against replacing a value that was given an old number again.
+    Given a store with 3 keys in pages of 500
+    When a key is written, and again after a restore
+    Then the second write fails with "burdocksill.E111" without a call
+
+  Scenario: Absent keys have revision 0 in every era
+    Guards against a key that can't be created after a restore.
+    Given a store with 3 keys in pages of 500
+    When the store is restored from a copy of before, with 0 changes since
+    And a key is written twice under the same condition
+    Then the second write returns the value of the first
+
   Scenario Outline: A call to a faulty store fails within its time-out
     # Nodes must continue with the state in force, and detect dead connections.
     Given a store with 3 keys in pages of 500
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -96,6 +96,32 @@
     When a full read shows "a" of 30, "b" of 20 and "c" of 15
     Then the log has no complete changes after 25
 
+  Scenario: A log keeps what a restore has made older
+    Guards against followers that miss the last changes before a restore.
+    Given a log of changes that begins at revision 10
+    When the key "a" changes in 11, and an older "a" is restored in era 1
+    Then the log returns after 10: a of 11, a of 1.9
+    And the log returns after 11: a of 1.9
+
+  Scenario: A log does not know what a restore has lost of a follower
+    Guards against followers that keep changes that were lost.
+    Given a log of changes that begins at revision 10
+    When the key "a" changes in 11, and an older "a" is restored in era 1
+    Then the log has no complete changes after 12
+    And the log has no complete changes after 9
+
+  Scenario: Nodes without eras do not follow each other's revisions
+    Guards against a node that takes an older build's update for current.
+    When messages of kinds 1, 2, 4 and 5 are decoded
+    Then each was rejected
+
+  Scenario: A follower learns of a restore from its reader
+    Guards against followers that take revisions after a restore for old ones.
+    Given a node that knows revision 20 and has requested changes
+    When the requested update arrives with a restore
+    Then the node knows revision 1.18
+    And the node counts absences from 0.0 seconds ago
+
   Scenario: Only the differences of a full read are applied
     # The history was dropped while little changed. Decoding a large manifest
     # again that is already in force would delay packets.
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -22,7 +22,9 @@
 from burdocksill.packets.watcher import StoreWatcher
 from burdocksill.platform.calls import range_pages
 from burdocksill.platform.records import ALL_KEYS, MANIFEST, RecordDecoder
+from burdocksill.platform.revisions import era_of
 from burdocksill.platform.store import StoreClient
+from burdocksill_lab.packets.drill import copy_store, restore_store
 from burdocksill_lab.packets.store import LabStore, StoreFault
 
 MEGABIT_BYTES = 125_000
@@ -116,6 +118,92 @@
     context.store.compact()
 
 
+@when(
+    'the store is restored from a copy of before, with {count:d} changes since'
+)
+def restore(context: Context, count: int) -> None:
+    """Lose two changes, and write others since."""
+    saved = copy_store(context.store)
+    for number in range(2):
+        context.store.put(f'servers/lost-{number}', b'{}')
+    if hasattr(context, 'found'):
+        read_all(context)
+    restore_store(context.store, saved, now=0)
+    for number in range(count):
+        context.store.put(f'servers/later-{number}', b'{}')
+
+
+@then('a full read has a higher revision than the last')
+def check_higher(context: Context) -> None:
+    """Read all keys and compare revisions."""
+    before = context.found.revision
+    read_all(context)
+    assert context.found.revision > before, (before, context.found.revision)
+
+
+@when('the store is restored between two pages of a full read')
+def restore_between(context: Context) -> None:
+    """Restore the store when it has answered with the first page."""
+    store = context.store
+    saved = copy_store(store)
+    store.put('servers/i-00000-lost', b'{}')
+
+    async def work(platform: StoreClient) -> Any:
+        pages = range_pages(ALL_KEYS)
+        target = next(pages)
+        count = 0
+        while True:
+            reply = await platform.call('GET', target)
+            count += 1
+            if count == 1:
+                restore_store(store, saved, now=0)
+            try:
+                target = pages.send(reply)
+            except StopIteration as done:
+                return done.value
+
+    context.found = with_store(context, work)
+
+
+@then('the full read has the keys and the era of the restored store')
+def check_restored(context: Context) -> None:
+    """Compare keys and era."""
+    found = [one.key for one in context.found.values]
+    assert found == sorted(context.store.items), found
+    assert era_of(context.found.revision) == context.store.era
+
+
+@when('a key is written, and again after a restore')
+def write_after_restore(context: Context) -> None:
+    """Write a key, restore the store and write with the old condition."""
+    store = context.store
+
+    async def work(platform: StoreClient) -> Any:
+        first = await platform.compare_and_swap(
+            key='burdocksill/x', value=b'first', expected_revision=0
+        )
+        restore_store(store, copy_store(store), now=0)
+        await platform.read('burdocksill/x')
+        calls = len(store.calls)
+        try:
+            await platform.compare_and_swap(
+                key='burdocksill/x',
+                value=b'second',
+                expected_revision=first.revision,
+            )
+        except BurdocksillError as error:
+            return error.code, len(store.calls) - calls
+        return 'none', 0
+
+    context.refused = with_store(context, work)
+
+
+@then('the second write fails with "{code}" without a call')
+def check_write_refused(context: Context, code: str) -> None:
+    """Compare the error code and the number of calls."""
+    assert context.refused == (code, 0), context.refused
+
+
 def next_changes(context: Context) -> Any:
     """Wait for changes after the full read; return them or the error."""
 
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -14,6 +14,7 @@
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.platform.protocols import SwapResult
 from burdocksill.platform.records import MANIFEST, UPSTREAMS
+from burdocksill.platform.revisions import join_revision, show_revision
 from burdocksill.platform.values import Snapshot, StoredValue
 from burdocksill.readers import changes
 from burdocksill.readers.changes import ChangeLog
@@ -202,6 +203,42 @@
     context.subscription.handle_update(update, sender)
 
 
+@when('messages of kinds {a:d}, {b:d}, {c:d} and {d:d} are decoded')
+def decode_kinds(context: Context, a: int, b: int, c: int, d: int) -> None:
+    """Decode messages of the layouts that are in use, of other kinds."""
+    messages = (
+        encode_update_request(UpdateRequest(token=1, revision=5)),
+        encode_update(
+            Update(token=1, after=5, revision=7, age=0.5, stable=2.0), b''
+        ),
+        encode_offer(Offer(revision=5, age=0.5)),
+    )
+    context.read = [
+        decode(bytes((kind,)) + message[1:])
+        for kind in (a, b, c, d)
+        for message in messages
+    ]
+
+
+@then('each was rejected')
+def check_rejected(context: Context) -> None:
+    """Check that no message was decoded."""
+    assert context.read == [None] * 12, context.read
+
+
+@when('the requested update arrives with a restore')
+def deliver_restored(context: Context) -> None:
+    """Deliver changes of the next era, whose numbers are lower."""
+    deliver(context, after=20, revision=join_revision(1, 18))
+
+
+@then('the node knows revision {era:d}.{number:d}')
+def check_era(context: Context, era: int, number: int) -> None:
+    """Check era and number of the revision."""
+    shown = show_revision(context.known.revision)
+    assert shown == f'{era}.{number}', shown
+
+
 @when('an update with another token arrives')
 def deliver_forged(context: Context) -> None:
     """Deliver an update with a forged token."""
@@ -463,6 +500,23 @@
         context.log.add(revision - 1, found)
 
 
+@when(
+    'the key "{key}" changes in {number:d}, '
+    'and an older "{restored_key}" is restored in era {era:d}'
+)
+def change_and_restore(
+    context: Context, key: str, number: int, restored_key: str, era: int
+) -> None:
+    """Add a change, then what a full read of the next era shows."""
+    change = StoredValue(key=key, value=b'', revision=number)
+    found = Snapshot(values=(change,), revision=number)
+    context.log.add(context.log.end, found)
+    revision = join_revision(era, 9)
+    restored = StoredValue(key=restored_key, value=b'', revision=revision)
+    found = Snapshot(values=(restored,), revision=join_revision(era, 10))
+    context.log.add(context.log.end, found)
+
+
 @given(
     'a log of changes that begins at revision {revision:d} and keeps {kept:d}',
 )
@@ -506,7 +560,9 @@
 def check_log(context: Context, after: int, wanted: str) -> None:
     """Compare the keys and revisions of the changes after a revision."""
     found = context.log.since(after)
-    told = ', '.join(f'{one.key} of {one.revision}' for one in found)
+    told = ', '.join(
+        f'{one.key} of {show_revision(one.revision)}' for one in found
+    )
     assert told == wanted, told
 
 
