Do not take differences to an earlier era for changes

Cause: a node that reads a restored store sends its followers the differences to what it knew, stamped with the revision of its reading. A follower that had read the store sooner, or heard of it from another domain's reader, took the part above its own revision for new writes: a removal that it had deferred counted as one just made, and a key that its reader had never seen again was not removed.

Change: the change log covers an era only from the revision of its first reading on, and earlier eras up to where it left them; a follower does not apply an update that begins before the restore if it has reached the new era, and asks again from its own revision.

Test: tests/readers/restored.feature plays two restores at random times with 6, 24 and 195 nodes, undisturbed and with a reader killed or paused, and compares all nodes with what was written; exchange.feature has the two rules.

--- a/burdocksill/readers/changes.py
+++ b/burdocksill/readers/changes.py
@@ -1,5 +1,6 @@
 """Log of the latest store changes, from which requests are answered."""
 
+import math
 from collections import OrderedDict
 from typing import Final
 
@@ -26,17 +27,21 @@
     changes: OrderedDict[tuple[int, str], StoredValue] = attrs.field(
         factory=OrderedDict
     )
-    # The last revision of each earlier era that is covered.
-    last_revisions: dict[int, int] = attrs.field(factory=dict)
+    # First revision of the current era. What led to it from the copy is known
+    # only as differences to the era before.
+    era_start: int = 0
+    # First and last revision of each earlier era.
+    earlier_eras: dict[int, tuple[int, int]] = attrs.field(factory=dict)
 
     def add(self, after: int, found: Snapshot) -> None:
         """Append changes after a revision; a gap drops all older ones."""
         if after > self.end:
             self.changes.clear()
-            self.last_revisions.clear()
+            self.earlier_eras.clear()
             self.start = after
         if era_of(found.revision) > era_of(self.end):
-            self.last_revisions[era_of(self.end)] = self.end
+            self.earlier_eras[era_of(self.end)] = (self.era_start, self.end)
+            self.era_start = found.revision
         for change in found.values:
             if change.revision > self.end:
                 entry = (era_of(change.revision), change.key)
@@ -49,19 +54,23 @@
             self.start = max(self.start, dropped.revision)
 
     def since(self, revision: int) -> tuple[StoredValue, ...] | None:
-        """Return the changes after a revision, None if some are missing.
-
-        Changes of an earlier era that only the requester knows are missing
-        here: which of them the restore has lost is not known.
-        """
-        era = era_of(revision)
-        last = self.last_revisions.get(era, 0)
-        if revision < self.start or (
-            era < era_of(self.end) and revision > last
-        ):
+        """Return the changes after a revision, None if some are missing."""
+        if revision < self.start or not self.covers(revision):
             return None
         return tuple(
             change
             for change in self.changes.values()
             if change.revision > revision
         )
+
+    def covers(self, revision: int) -> bool:
+        """Return True if the log knows what its era has changed since.
+
+        It does not for a requester that read the store sooner after a restore,
+        or knew more of an earlier era.
+        """
+        era = era_of(revision)
+        if era >= era_of(self.end):
+            return revision >= self.era_start
+        first, last = self.earlier_eras.get(era, (math.inf, 0))
+        return first <= revision <= last
--- a/burdocksill/readers/subscription.py
+++ b/burdocksill/readers/subscription.py
@@ -9,7 +9,7 @@
 
 from burdocksill.network.addresses import Address
 from burdocksill.network.clock import Clock
-from burdocksill.platform.revisions import show_revision
+from burdocksill.platform.revisions import era_of, show_revision
 from burdocksill.platform.values import Snapshot
 from burdocksill.readers.datagrams import Offer, Update, UpdateRequest
 from burdocksill.readers.messages import Reader
@@ -204,7 +204,7 @@
         if update.changes is None:
             self.record_oversized(update, sender)
             return True
-        if update.after > self.store_cache.revision:
+        if not self.continues(update):
             self.has_gap = True
             return True
         found = Snapshot(values=update.changes, revision=update.revision)
@@ -217,6 +217,17 @@
             self.attempts = 0
         return True
 
+    def continues(self, update: Update) -> bool:
+        """Return True if an update has all changes since the known revision.
+
+        One that begins before a restore shows it as differences to an earlier
+        era. They are incomplete for a node that has read the restored store.
+        """
+        known = self.store_cache.revision
+        if update.revision <= known:
+            return True
+        return era_of(known) <= era_of(update.after) and update.after <= known
+
     def record_reader_answer(self, update: Update, sender: Address) -> None:
         """Record an answer of the own domain's reader."""
         entry = self.directory.readers.get(self.domain)
--- a/burdocksill_lab/packets/drill.py
+++ b/burdocksill_lab/packets/drill.py
@@ -70,6 +70,8 @@
     fleet: SharedFleet
     rng: Random
     saved: StoreCopy = attrs.field(init=False)
+    # Lost keys that are to be written again.
+    lost: dict[str, Item | None] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Copy the store."""
@@ -92,19 +94,22 @@
         for key in sorted(latest.keys() | self.saved.items.keys()):
             lost = latest.get(key)
             if key.startswith(READ_ONLY_PREFIXES) and lost != self.read(key):
-                self.fleet.nursery.start_soon(self.write_again, key, lost)
+                self.lost[key] = lost
+                self.fleet.nursery.start_soon(self.write_again, key)
 
     def read(self, key: str) -> Item | None:
         """Return what the store holds under a key."""
         return self.store.items.get(key)
 
-    async def write_again(self, key: str, lost: Item | None) -> None:
+    async def write_again(self, key: str) -> None:
         """Repeat the last write of a key, unless there is a later one."""
         restored = self.read(key)
         era = self.store.era
         await trio.sleep(self.rng.uniform(0, MAX_REWRITE_SECONDS))
-        if self.read(key) != restored or self.store.era != era:
+        is_written = self.read(key) != restored or self.store.era != era
+        if is_written or key not in self.lost:
             return
+        lost = self.lost.pop(key)
         if lost is None:
             self.store.remove(key)
         else:
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -110,11 +110,26 @@
     Then the log has no complete changes after 12
     And the log has no complete changes after 9
 
+  Scenario: A log does not know what led to its first reading after a restore
+    Guards against a follower that misses a removal after a restore.
+    Given a log of changes that begins at revision 10
+    When the key "a" changes in 11, and an older "a" is restored in era 1
+    Then the log has no complete changes after 8 of era 1
+    And the log has complete changes after 10 of era 1
+
   Scenario: Nodes without eras do not follow each other's revisions
     Guards against a node that takes an older build's update for current.
     When messages of kinds 1, 2, 4 and 5 are decoded
     Then each was rejected
 
+  Scenario: Differences to an earlier era are not taken for changes
+    Guards against removals that count as new on a node that knew of a restore.
+    Given a node that knows revision 20 and has requested changes
+    When the requested update arrives with a restore
+    And an update from before the restore arrives that ends later
+    Then the node knows revision 1.18
+    And it requests at once the changes after 1.18
+
   Scenario: A follower learns of a restore from its reader
     Guards against followers that take revisions after a restore for old ones.
     Given a node that knows revision 20 and has requested changes
--- a/tests/readers/restored.feature
+++ b/tests/readers/restored.feature
@@ -20,3 +20,25 @@
       | 6     |
       | 24    |
       | 195   |
+
+  Scenario Outline: What nodes know of operators and upstreams does not go back
+    Guards against flows to upstreams and domains that a copy shows as before.
+    When the store is restored twice at random times, with <nodes> nodes in 3 domains
+    Then no promise is broken in <plays> plays
+
+    Examples:
+      | nodes | plays |
+      | 6     | 12    |
+      | 24    | 3     |
+
+  Scenario Outline: Nodes that are disturbed during a restore catch up
+    Guards against stale nodes, and domains without a reader, after two faults.
+    When the store is restored twice at random times, with <nodes> nodes in 3 domains
+    And a reader is killed or paused each time
+    Then no promise is broken in <plays> plays
+
+    Examples:
+      | nodes | plays |
+      | 6     | 6     |
+      | 24    | 3     |
+      | 195   | 1     |
--- a/tests/reading_script.py
+++ b/tests/reading_script.py
@@ -31,12 +31,13 @@
     started_at: float = 0
 
 
-def run_script(context: Context, check: Step) -> None:
+def run_script(context: Context, check: Step, seed: int | None = None) -> None:
     """Run the script so far and then a check, in virtual time."""
     script = context.script
+    seed = context.seed if seed is None else seed
 
     async def main() -> None:
-        async with open_fleet(context.seed) as fleet:
+        async with open_fleet(seed) as fleet:
             await add_upstreams(fleet)
             for number in range(script.nodes):
                 await fleet.add_node(f'd{number % script.domains}', cores=0.5)
@@ -46,7 +47,7 @@
                 await step(fleet)
             await check(fleet)
 
-    run_seeded(context.seed, main)
+    run_seeded(seed, main)
 
 
 def add_step(context: Context, step: Step) -> None:
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -232,6 +232,18 @@
     deliver(context, after=20, revision=join_revision(1, 18))
 
 
+@when('an update from before the restore arrives that ends later')
+def deliver_differences(context: Context) -> None:
+    """Deliver the differences of a later full read to the era before."""
+    deliver(context, after=20, revision=join_revision(1, 30))
+
+
+@then('it requests at once the changes after {era:d}.{number:d}')
+def check_asks_era(context: Context, era: int, number: int) -> None:
+    """Check era and number of the next request."""
+    check_asks(context, join_revision(era, number))
+
+
 @then('the node knows revision {era:d}.{number:d}')
 def check_era(context: Context, era: int, number: int) -> None:
     """Check era and number of the revision."""
@@ -556,6 +568,18 @@
     assert context.log.since(after) is None, context.log.since(after)
 
 
+@then('the log has no complete changes after {number:d} of era {era:d}')
+def check_era_incomplete(context: Context, number: int, era: int) -> None:
+    """Check that the log does not return incomplete changes of an era."""
+    check_incomplete(context, join_revision(era, number))
+
+
+@then('the log has complete changes after {number:d} of era {era:d}')
+def check_era_complete(context: Context, number: int, era: int) -> None:
+    """Check that the log knows that nothing has changed since."""
+    assert context.log.since(join_revision(era, number)) == ()
+
+
 @then('the log returns after {after:d}: {wanted}')
 def check_log(context: Context, after: int, wanted: str) -> None:
     """Compare the keys and revisions of the changes after a revision."""
--- a/tests/steps/readers_restored.py
+++ b/tests/steps/readers_restored.py
@@ -7,14 +7,21 @@
 from behave.runner import Context
 from reading_script import (
     UPSTREAM_COUNT,
+    SimulationScript,
     add_check,
     add_step,
     put_upstream,
+    run_script,
     start_measuring,
 )
 
 from burdocksill_lab.packets.drill import RestoreDrill
 from burdocksill_lab.packets.fleet import FleetNode, SharedFleet
+from burdocksill_lab.packets.restores import RestorePlay
+
+RESTORES = 2
+# Plays of different seeds of a scenario have different seeds, too.
+PLAYS_PER_SEED = 100
 
 
 @when('the store is copied')
@@ -90,3 +97,47 @@
     now = trio.current_time()
     found = registry.available_in_service('ledger', now)
     return {upstream.record.name for upstream in found}
+
+
+@when(
+    'the store is restored twice at random times, '
+    'with {nodes:d} nodes in {domains:d} domains'
+)
+def prepare_plays(context: Context, nodes: int, domains: int) -> None:
+    """Remember the sizes of the plays."""
+    context.script = SimulationScript(nodes, domains)
+    context.disturb = False
+
+
+@when('a reader is killed or paused each time')
+def disturb_plays(context: Context) -> None:
+    """Disturb a reader around each restore."""
+    context.disturb = True
+
+
+@then('no promise is broken in {plays:d} plays')
+def check_plays(context: Context, plays: int) -> None:
+    """Run plays with different seeds, and show what each has broken."""
+    first_seed = context.seed * PLAYS_PER_SEED
+    broken = {
+        seed: run_play(context, seed)
+        for seed in range(first_seed, first_seed + plays)
+    }
+    assert not any(broken.values()), broken
+
+
+def run_play(context: Context, seed: int) -> dict[str, int]:
+    """Run one play; return the broken promises."""
+    script = context.script
+    broken: dict[str, int] = {}
+
+    async def check(fleet: SharedFleet) -> None:
+        play = RestorePlay(
+            fleet=fleet,
+            rng=Random(seed),
+            domains=tuple(f'd{number}' for number in range(script.domains)),
+        )
+        broken.update(await play.run(RESTORES, disturb=context.disturb))
+
+    run_script(context, check, seed)
+    return broken
