Ask again for a restore's differences to a state that is not the known one

Cause: a reader that was paused at 1.55 read the restored store and sent the differences to its own state to a follower that had subscribed at 1.55 and was at 1.57 by then. The upstream registered in 1.57 and lost in the restore is in neither, so that the follower kept it for good.

Change: an update across a restore is applied only if it begins at the revision that the node knows; if not, the node asks again from there, and the change log knows whether it covers that.

Test: exchange.feature, fails before.

--- a/burdocksill/readers/subscription.py
+++ b/burdocksill/readers/subscription.py
@@ -220,13 +220,15 @@
     def continues(self, update: Update) -> bool:
         """Return True if an update has all changes since the known revision.
 
-        One that begins before a restore shows it as differences to an earlier
-        era. They are incomplete for a node that has read the restored store.
+        One across a restore shows it as differences to the state from which it
+        begins, which are incomplete for a node that knows any other state.
         """
         known = self.store_cache.revision
         if update.revision <= known:
             return True
-        return era_of(known) <= era_of(update.after) and update.after <= known
+        if era_of(update.after) < era_of(update.revision):
+            return update.after == known
+        return update.after <= known
 
     def record_reader_answer(self, update: Update, sender: Address) -> None:
         """Record an answer of the own domain's reader."""
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -130,6 +130,13 @@
     Then the node knows revision 1.18
     And it requests at once the changes after 1.18
 
+  Scenario: Differences to a state before the known one are not complete
+    Guards against a follower that keeps what a restore has lost.
+    Given a node that knows revision 20 and has requested changes
+    When an update arrives that begins at 19 and ends after a restore
+    Then the node knows revision 20
+    And it requests at once the changes after 20
+
   Scenario: A follower learns of a restore from its reader
     Guards against followers that take revisions after a restore for old ones.
     Given a node that knows revision 20 and has requested changes
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -238,6 +238,12 @@
     deliver(context, after=20, revision=join_revision(1, 30))
 
 
+@when('an update arrives that begins at {after:d} and ends after a restore')
+def deliver_behind(context: Context, after: int) -> None:
+    """Deliver differences to a state that the node has left."""
+    deliver(context, after=after, revision=join_revision(1, 18))
+
+
 @then('it requests at once the changes after {era:d}.{number:d}')
 def check_asks_era(context: Context, era: int, number: int) -> None:
     """Check era and number of the next request."""
