--- a/burdocksill_lab/commands/soak.py
+++ b/burdocksill_lab/commands/soak.py
@@ -58,6 +58,11 @@
     type=click.IntRange(0),
     help='KB a second from the store to each node; 0 for any amount.',
 )
+@click.option(
+    '--restores',
+    is_flag=True,
+    help='Restore the store from a copy in each round.',
+)
 @click.option('--logs', type=click.Path(path_type=Path), help='Keep logs here.')
 @click.option('--json', 'as_json', is_flag=True, help='Write a JSON object.')
 def soak(
@@ -69,6 +74,7 @@
     without: str,
     routes: int,
     link: int,
+    restores: bool,
     logs: Path | None,
     as_json: bool,
 ) -> None:
@@ -88,6 +94,7 @@
             skipped=skip,
             without=without,
             logs=logs,
+            restores=restores,
             size=SoakSize(
                 idle_routes=routes,
                 link_bytes_per_second=link * KILOBYTE,
--- a/burdocksill_lab/packets/drill.py
+++ b/burdocksill_lab/packets/drill.py
@@ -6,7 +6,6 @@
 import attrs
 import trio
 
-from burdocksill_lab.packets.fleet import SharedFleet
 from burdocksill_lab.packets.store import (
     READ_ONLY_PREFIXES,
     Item,
@@ -71,7 +70,8 @@
     random time. Nodes have to do so for their own keys.
     """
 
-    fleet: SharedFleet
+    store: LabStore
+    nursery: trio.Nursery
     rng: Random
     saved: StoreCopy = attrs.field(init=False)
     # Lost keys that are to be written again.
@@ -81,17 +81,12 @@
         """Copy the store."""
         self.saved = copy_store(self.store)
 
-    @property
-    def store(self) -> LabStore:
-        """Return the store of the fleet."""
-        return self.fleet.store
-
     async def restore(
         self, away_seconds: float, fault: StoreFault = StoreFault.RESET
     ) -> None:
         """Let the store fail for some seconds, then restore it."""
         self.store.injected_fault = fault
-        await self.fleet.run(away_seconds)
+        await trio.sleep(away_seconds)
         self.store.injected_fault = StoreFault.NONE
         latest = self.store.items
         restore_store(self.store, self.saved, trio.current_time())
@@ -99,19 +94,23 @@
             lost = latest.get(key)
             if key.startswith(READ_ONLY_PREFIXES) and lost != self.read(key):
                 self.lost[key] = lost
-                self.fleet.nursery.start_soon(self.write_again, key)
+                self.nursery.start_soon(self.write_again, key)
 
     def read(self, key: str) -> Item | None:
         """Return what the store holds under a key."""
         return self.store.items.get(key)
 
+    def remove(self, key: str) -> None:
+        """Remove a key, also one that is lost and not written again yet."""
+        self.lost.pop(key, None)
+        if key in self.store.items:
+            self.store.remove(key)
+
     async def write_again(self, key: str) -> None:
         """Repeat the last write of a key, unless there is a later one."""
         restored = self.read(key)
-        era = self.store.era
         await trio.sleep(self.rng.uniform(0, MAX_REWRITE_SECONDS))
-        is_written = self.read(key) != restored or self.store.era != era
-        if is_written or key not in self.lost:
+        if key not in self.lost or self.read(key) != restored:
             return
         lost = self.lost.pop(key)
         if lost is None:
--- a/burdocksill_lab/packets/restores.py
+++ b/burdocksill_lab/packets/restores.py
@@ -175,12 +175,13 @@
     written: WrittenState = attrs.field(factory=WrittenState)
     checker: RestoreChecker = attrs.field(init=False)
     started: int = 0
-    drill: RestoreDrill | None = None
+    drill: RestoreDrill = attrs.field(init=False)
     # Set while the store answers.
     store_works: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
-        """Create the checker; the store works."""
+        """Create the checker and a first copy; the store works."""
+        self.copy_store()
         self.store_works.set()
         self.checker = RestoreChecker(fleet=self.fleet, written=self.written)
 
@@ -197,9 +198,17 @@
             nursery.cancel_scope.cancel()
         return self.checker.violations
 
+    def copy_store(self) -> None:
+        """Copy the store for the next restore."""
+        self.drill = RestoreDrill(
+            store=self.fleet.store,
+            nursery=self.fleet.nursery,
+            rng=self.rng,
+        )
+
     async def restore(self, *, disturb: bool) -> None:
         """Restore the store from a copy that is some seconds old."""
-        self.drill = RestoreDrill(fleet=self.fleet, rng=self.rng)
+        self.copy_store()
         await self.fleet.run(self.rng.uniform(1, 6))
         if disturb:
             self.fleet.nursery.start_soon(self.disturb)
@@ -279,7 +288,7 @@
         name = self.choose_staying()
         if name:
             self.written.leaving[name] = trio.current_time()
-            self.remove(UPSTREAMS + name)
+            self.drill.remove(UPSTREAMS + name)
 
     def choose_staying(self) -> str:
         """Return an upstream that does not leave, empty if there is none."""
@@ -290,14 +299,7 @@
         """End an upstream some time after its announcement."""
         await trio.sleep(DRAIN_SECONDS)
         await self.store_works.wait()
-        self.remove(UPSTREAMS + name)
-
-    def remove(self, key: str) -> None:
-        """Remove a key, also one that a restore has lost."""
-        if key in self.fleet.store.items:
-            self.fleet.store.remove(key)
-        elif self.drill is not None:
-            self.drill.lost.pop(key, None)
+        self.drill.remove(UPSTREAMS + name)
 
     def put_upstream(self, name: str, state: str) -> None:
         """Write an upstream's entry."""
@@ -319,7 +321,7 @@
         _, was_out = self.written.domains.get(domain, (-math.inf, False))
         self.written.domains[domain] = (trio.current_time(), not was_out)
         if was_out:
-            self.remove(key)
+            self.drill.remove(key)
         else:
             self.fleet.store.put(key, b'{}')
 
--- a/burdocksill_lab/soak/deployment.py
+++ b/burdocksill_lab/soak/deployment.py
@@ -12,6 +12,7 @@
 from burdocksill.packets.header import FIN, parse_ipv4
 from burdocksill.platform.records import DOMAINS_OUT, UPSTREAMS
 from burdocksill_lab.packets.client import ClientFlow, deliver_to_flow
+from burdocksill_lab.packets.drill import RestoreDrill
 from burdocksill_lab.packets.loopback import (
     PROBE_SECONDS,
     UNHEALTHY_THRESHOLD,
@@ -84,6 +85,8 @@
     command: tuple[str, ...]
     size: SoakSize
     store: LabStore = attrs.field(factory=LabStore)
+    # The latest copy of the store.
+    drill: RestoreDrill = attrs.field(init=False)
     nodes: list[SoakNode] = attrs.field(factory=list)
     upstreams: list[LabUpstream] = attrs.field(factory=list)
     flows: dict[tuple[int, ...], ClientFlow] = attrs.field(factory=dict)
@@ -95,7 +98,8 @@
     hosts: int = 0
 
     def __attrs_post_init__(self) -> None:
-        """Create the network and the timeline."""
+        """Create the network, the timeline and a first copy of the store."""
+        self.drill = copy_for_restore(self)
         self.network = LoopbackNetwork(nursery=self.nursery)
         self.timeline = TrioTimeline(nursery=self.nursery)
 
@@ -203,12 +207,11 @@
             self.checker.expected.domains_out[domain] = self.checker.clock()
             self.store.put(DOMAINS_OUT + domain, b'{}')
         elif self.checker.expected.domains_out.pop(domain, None) is not None:
-            self.store.remove(DOMAINS_OUT + domain)
+            self.drill.remove(DOMAINS_OUT + domain)
 
     def deregister(self, upstream: LabUpstream) -> None:
         """Remove an upstream's entry if it exists."""
-        if UPSTREAMS + upstream.name in self.store.items:
-            self.store.remove(UPSTREAMS + upstream.name)
+        self.drill.remove(UPSTREAMS + upstream.name)
 
     def serving(self) -> list[LabUpstream]:
         """Return upstreams of SERVICE that neither drain nor have ended."""
@@ -314,6 +317,15 @@
         self.nursery.cancel_scope.cancel()
 
 
+def copy_for_restore(deployment: SoakDeployment) -> RestoreDrill:
+    """Copy a deployment's store, from which it can be restored."""
+    return RestoreDrill(
+        store=deployment.store,
+        nursery=deployment.nursery,
+        rng=deployment.rng,
+    )
+
+
 async def until(holds: Callable[[], bool], pause: float) -> None:
     """Poll until a condition holds, with a pause in seconds."""
     while not holds():  # noqa: ASYNC110
--- a/burdocksill_lab/soak/injector.py
+++ b/burdocksill_lab/soak/injector.py
@@ -10,11 +10,17 @@
 import trio
 
 from burdocksill.platform.records import UPSTREAMS
+from burdocksill_lab.packets.drill import MAX_REWRITE_SECONDS
 from burdocksill_lab.packets.store import StoreFault
 from burdocksill_lab.packets.upstream import LabUpstream
 from burdocksill_lab.packets.world import write_entry
 from burdocksill_lab.soak.changes import Changes
-from burdocksill_lab.soak.deployment import SoakDeployment, SoakNode, until
+from burdocksill_lab.soak.deployment import (
+    SoakDeployment,
+    SoakNode,
+    copy_for_restore,
+    until,
+)
 from burdocksill_lab.soak.plan import CHANGES, FaultKind, PlannedFault
 from burdocksill_lab.soak.proxy import LinkFault
 
@@ -24,6 +30,7 @@
 READY_SECONDS: Final = 20.0
 STEP_SECONDS: Final = 0.05
 SLOW_SECONDS: Final = 0.25
+RESTORE_AWAY_SECONDS: Final = 0.5
 # Expired entries are registered again within two seconds of recovery.
 REREGISTER_SECONDS: Final = 1.5
 LINKS: Final[Mapping[FaultKind, LinkFault]] = MappingProxyType(
@@ -92,6 +99,7 @@
             FaultKind.STORE_SLOW: self.slow_store,
             FaultKind.STORE_LAPSE: self.expire_entries,
             FaultKind.STORE_COMPACT: self.compact,
+            FaultKind.STORE_RESTORED: self.restore_store,
             FaultKind.PACKETS_LOST: partial(
                 self.inject_packet_fault, name='lost'
             ),
@@ -211,6 +219,18 @@
         """Compact the store's history."""
         self.deployment.store.compact()
 
+    async def restore_store(self, fault: PlannedFault) -> None:
+        """Lose the changes of some seconds, and the store for a moment.
+
+        Of several lost manifests only the last is written again, so that the
+        store goes on with lower revisions than before.
+        """
+        self.deployment.drill = copy_for_restore(self.deployment)
+        await self.changes.write_manifests(fault)
+        await trio.sleep(fault.seconds)
+        await self.deployment.drill.restore(RESTORE_AWAY_SECONDS)
+        await trio.sleep(MAX_REWRITE_SECONDS)
+
     async def inject_link_fault(self, fault: PlannedFault) -> None:
         """Inject a fault into a node's connections to the store."""
         proxy = self.node(fault).proxy
--- a/burdocksill_lab/soak/plan.py
+++ b/burdocksill_lab/soak/plan.py
@@ -30,6 +30,7 @@
     STORE_SLOW = 'store slow'
     STORE_LAPSE = 'store lapse'
     STORE_COMPACT = 'store compact'
+    STORE_RESTORED = 'store restored'
     # One node's connections to the store, by its proxy.
     LINK_DELAY = 'link delay'
     LINK_RESET = 'link reset'
@@ -54,7 +55,12 @@
     FaultKind.DOMAIN_OUT,
     FaultKind.RELEASE,
 )
-FAULTS: Final = tuple(kind for kind in FaultKind if kind not in CHANGES)
+# Restores are drawn apart, so that older seeds keep their plans.
+FAULTS: Final = tuple(
+    kind
+    for kind in FaultKind
+    if kind not in {*CHANGES, FaultKind.STORE_RESTORED}
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -68,10 +74,17 @@
     seconds: float
 
 
-def draw_plan(seed: int, rounds: int) -> list[PlannedFault]:
-    """Return the faults and changes by time; reproducible by seed."""
+def draw_plan(
+    seed: int, rounds: int, *, restores: bool = False
+) -> list[PlannedFault]:
+    """Return the faults and changes by time; reproducible by seed.
+
+    With `restores`, each round also restores the store from a copy.
+    """
     rng = Random(seed)
     plan: list[PlannedFault] = []
+    if restores:
+        plan.extend(draw_restores(seed, rounds))
     for number in range(rounds):
         began = number * ROUND_SECONDS
         troubles = rng.choices(FAULTS, k=rng.randint(1, MAX_FAULTS))
@@ -84,6 +97,16 @@
     return sorted(plan, key=lambda fault: fault.at)
 
 
+def draw_restores(seed: int, rounds: int) -> list[PlannedFault]:
+    """Return a restore of the store in each round."""
+    rng = Random(f'{seed} restores')
+    within = FAULT_WINDOW_SECONDS - MAX_FAULT_SECONDS
+    return [
+        draw(rng, FaultKind.STORE_RESTORED, number * ROUND_SECONDS, within)
+        for number in range(rounds)
+    ]
+
+
 def draw(
     rng: Random, kind: FaultKind, began: float, within: float
 ) -> PlannedFault:
--- a/burdocksill_lab/soak/run.py
+++ b/burdocksill_lab/soak/run.py
@@ -53,6 +53,8 @@
     # Directory in which logs are kept; None discards them.
     logs: Path | None = None
     size: SoakSize = SoakSize()
+    # True to restore the store from a copy in each round.
+    restores: bool = False
 
     @property
     def rounds(self) -> int:
@@ -64,7 +66,11 @@
         began = self.skipped * ROUND_SECONDS
         return [
             attrs.evolve(fault, at=fault.at - began)
-            for fault in draw_plan(self.seed, self.skipped + self.rounds)
+            for fault in draw_plan(
+                self.seed,
+                self.skipped + self.rounds,
+                restores=self.restores,
+            )
             if fault.at >= began
         ]
 
--- a/tests/lab/soak.feature
+++ b/tests/lab/soak.feature
@@ -49,6 +49,16 @@
     Then no promise was broken
     And no answer of the store was truncated
 
+  Scenario: A soak of a store that is restored from copies keeps every promise
+    Guards against nodes that ignore changes, or go back, after a restore.
+    When a soak of seed 4 with restores runs for 0.5 minutes with 4 nodes
+    Then no promise was broken
+
+  Scenario: Restores leave the other faults of a seed as they are
+    Guards against seeds that once failed and no longer play what they did.
+    When the plan of seed 7 is drawn for 4 rounds, with restores and without
+    Then the plans differ by 4 restores
+
   Scenario: A soak detects nodes that corrupt packets
     # Control run: without the safeguard the soak must find a violation.
     When a soak of seed 1 runs for 0.25 minutes with 2 nodes without "packets"
--- a/tests/steps/lab_soak.py
+++ b/tests/steps/lab_soak.py
@@ -12,7 +12,7 @@
 from burdocksill_lab.packets.upstream import Condition, LabUpstream
 from burdocksill_lab.soak.checker import SoakChecker
 from burdocksill_lab.soak.deployment import SoakSize
-from burdocksill_lab.soak.plan import draw_plan
+from burdocksill_lab.soak.plan import FaultKind, draw_plan
 from burdocksill_lab.soak.run import SoakSettings, play
 
 TRUNCATED = 'answer cut short'
@@ -27,6 +27,43 @@
     context.plans = [draw_plan(seed, rounds) for _ in range(2)]
 
 
+@when(
+    'the plan of seed {seed:d} is drawn for {rounds:d} rounds, '
+    'with restores and without'
+)
+def draw_restores(context: Context, seed: int, rounds: int) -> None:
+    """Draw a plan with restores and one without."""
+    context.plans = [
+        draw_plan(seed, rounds, restores=restores) for restores in (True, False)
+    ]
+
+
+@then('the plans differ by {count:d} restores')
+def check_restores(context: Context, count: int) -> None:
+    """Compare the plans without restores."""
+    with_restores, without = context.plans
+    others = [
+        fault
+        for fault in with_restores
+        if fault.kind is not FaultKind.STORE_RESTORED
+    ]
+    assert others == without
+    assert len(with_restores) == len(without) + count
+
+
+@when(
+    'a soak of seed {seed:d} with restores '
+    'runs for {minutes:f} minutes with {nodes:d} nodes'
+)
+def run_restores(
+    context: Context, seed: int, minutes: float, nodes: int
+) -> None:
+    """Run a soak with restores of the store."""
+    context.report = play(
+        SoakSettings(seed=seed, minutes=minutes, nodes=nodes, restores=True)
+    )
+
+
 @then('both are the same')
 def check_plans(context: Context) -> None:
     """Compare the two plans."""
--- a/tests/steps/readers_restored.py
+++ b/tests/steps/readers_restored.py
@@ -39,11 +39,18 @@
     """Copy the store; what is written from here on is lost."""
 
     async def step(fleet: SharedFleet) -> None:
-        context.drill = RestoreDrill(fleet=fleet, rng=Random(context.seed))
+        context.drill = make_drill(fleet, context.seed)
 
     add_step(context, step)
 
 
+def make_drill(fleet: SharedFleet, seed: int) -> RestoreDrill:
+    """Copy the store of a fleet."""
+    return RestoreDrill(
+        store=fleet.store, nursery=fleet.nursery, rng=Random(seed)
+    )
+
+
 @when('the store is copied while {count:d} domains have no reader')
 def copy_between_readers(context: Context, count: int) -> None:
     """Wait until entries of readers have expired, and copy the store."""
@@ -54,7 +61,7 @@
             sum(key.startswith(READERS) for key in fleet.store.items) > wanted
         ):
             await fleet.run(0.02)
-        context.drill = RestoreDrill(fleet=fleet, rng=Random(context.seed))
+        context.drill = make_drill(fleet, context.seed)
 
     add_step(context, step)
 
