--- a/burdocksill_lab/packets/drill.py
+++ b/burdocksill_lab/packets/drill.py
@@ -54,8 +54,7 @@
         number: Lease(seconds=lease.seconds, expires_at=now + lease.seconds)
         for number, lease in saved.leases.items()
     }
-    if store.era is not None:
-        store.era += 1
+    store.era += 1
     # Watches from a revision that is lost end.
     waiting = store.changed
     store.changed = trio.Event()
--- a/burdocksill_lab/packets/store.py
+++ b/burdocksill_lab/packets/store.py
@@ -82,8 +82,8 @@
     """In-memory key-value store with revisions, watches and leases."""
 
     revision: int = 10
-    # Number of restores, sent with each answer; None sends no header.
-    era: int | None = 0
+    # Number of restores, sent with each answer from the first restore on.
+    era: int = 0
     items: dict[str, Item] = attrs.field(factory=dict)
     history: list[Item] = attrs.field(factory=list)
     # Watches that start before this revision get 410.
@@ -386,15 +386,13 @@
             return b''.join(parts)
 
 
-def write_reply(
-    protocol: h11.Connection, reply: HttpReply, era: int | None
-) -> bytes:
+def write_reply(protocol: h11.Connection, reply: HttpReply, era: int) -> bytes:
     """Return the bytes of an answer; the connection is kept open."""
     headers = [
         ('Content-Type', reply.media_type),
         ('Content-Length', str(len(reply.body))),
     ]
-    if era is not None:
+    if era:
         headers.append(('Store-Era', str(era)))
     head = h11.Response(status_code=reply.status, headers=headers)
     out = protocol.send(head) or b''
