Refuse revisions that exceed their bits, and ignore malformed eras

Found by reading: a number of 2^40 or more would have changed the era of its revision, and an era that does not fit into 64 bits would have ended the process when it encoded an update for its followers.

Change: a revision has 48 bits for the number and 16 for the era; a larger number is a malformed answer (E102), an era of more than four digits counts as missing. Valid answers are handled as before. The rule for restored entries is written out as one question after the other.

Test: platform/store.feature; the three malformed numbers and the fourth row of eras fail before.

--- a/burdocksill/packets/restored.py
+++ b/burdocksill/packets/restored.py
@@ -116,12 +116,12 @@
     """
     if known is None or record.started_at > known.record.started_at:
         return 0
-    is_same = record.started_at == known.record.started_at
-    is_leaving = known.record.state is UpstreamState.DRAINING
-    if is_same and not is_leaving and not known.absent_since:
-        if record.state is UpstreamState.DRAINING:
-            return 0
-    elif not is_same or not is_leaving:
+    if record.started_at < known.record.started_at:
         return RENEWAL_SECONDS
     # Without a start time it may be another process.
-    return NEVER_SECONDS if record.started_at else RENEWAL_SECONDS
+    never = NEVER_SECONDS if record.started_at else RENEWAL_SECONDS
+    if known.record.state is UpstreamState.DRAINING:
+        return never
+    if known.absent_since:
+        return RENEWAL_SECONDS
+    return 0 if record.state is UpstreamState.DRAINING else never
--- a/burdocksill/platform/calls.py
+++ b/burdocksill/platform/calls.py
@@ -9,7 +9,12 @@
 
 from burdocksill.network.reply import HttpReply
 from burdocksill.platform.exceptions import PlatformReplyError
-from burdocksill.platform.revisions import era_of, join_revision, number_of
+from burdocksill.platform.revisions import (
+    MAX_NUMBER,
+    era_of,
+    join_revision,
+    number_of,
+)
 from burdocksill.platform.values import Snapshot, StoredValue
 
 TYPE_CHECKING = False
@@ -21,6 +26,8 @@
 ITEM_OVERHEAD_BYTES: Final = 90
 # Header of all answers that counts how often the store was restored.
 ERA_HEADER: Final = 'store-era'
+# Longer ones do not fit into a revision.
+MAX_ERA_DIGITS: Final = 4
 
 
 def item_bytes(stored: StoredValue) -> int:
@@ -111,9 +118,10 @@
 
 
 def read_era(reply: HttpReply, known_era: int = 0) -> int:
-    """Return the era of the store in an answer, the known one if missing."""
+    """Return the era in an answer, the known one if missing or malformed."""
     text = reply.header(ERA_HEADER)
-    return int(text) if text.isdecimal() else known_era
+    is_valid = text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_valid else known_era
 
 
 def decode_watch(target: str, reply: HttpReply, known_era: int) -> Snapshot:
@@ -142,9 +150,9 @@
 def decode_revision(answer: dict[str, Any], era: int) -> int:
     """Return the revision of the store in an answer."""
     number = answer.get('AsOf')
-    if not isinstance(number, int):
+    if not isinstance(number, int) or not 0 <= number <= MAX_NUMBER:
         raise PlatformReplyError(
-            message=f'AsOf is not an integer: {number!r}',
+            message=f'AsOf is not the number of a revision: {number!r}',
             hint='check the address of the store',
         )
     return join_revision(era, number)
--- a/burdocksill/platform/revisions.py
+++ b/burdocksill/platform/revisions.py
@@ -11,12 +11,18 @@
 if TYPE_CHECKING:
     from typing import Final
 
-NUMBER_BITS: Final = 40
-NUMBER_MASK: Final = (1 << NUMBER_BITS) - 1
+# A revision has 64 bits in messages between nodes.
+NUMBER_BITS: Final = 48
+MAX_NUMBER: Final = (1 << NUMBER_BITS) - 1
 
 
 def join_revision(era: int, number: int) -> int:
-    """Return the revision of a number in an era; 0, absent, has no era."""
+    """Return the revision of a number in an era; 0, absent, has no era.
+
+    Raise ValueError for a number that exceeds its bits.
+    """
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(number)
     return era << NUMBER_BITS | number if number else 0
 
 
@@ -27,7 +33,7 @@
 
 def number_of(revision: int) -> int:
     """Return the number of a revision, as the store knows it."""
-    return revision & NUMBER_MASK
+    return revision & MAX_NUMBER
 
 
 def show_revision(revision: int) -> str:
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -52,6 +52,18 @@
     And the store is restored from a copy of before, with 1 changes since
     Then a full read has a higher revision than the last
 
+  Scenario Outline: A malformed era does not change a node's own
+    Guards against an answer that ends the process or hides later changes.
+    When the store answers with the era "<text>" while era 3 is known
+    Then the answer is of era <era>
+
+    Examples:
+      | text                 | era |
+      | 4                    | 4   |
+      | none                 | 3   |
+      | -1                   | 3   |
+      | 99999999999999999999 | 3   |
+
   Scenario: Pages of a full read are of one era
     Guards against a list that mixes states before and after a restore.
     Given a store with 5 keys in pages of 2
@@ -130,6 +142,9 @@
       | {"items": 7, "AsOf": 4} |
       | {"items": [{"Key": "a", "Value": "!!", "Rev": 1}], "AsOf": 4} |
       | {"items": [], "AsOf": "4"} |
+      | {"items": [], "AsOf": -1} |
+      | {"items": [], "AsOf": 281474976710656} |
+      | {"items": [{"Key": "a", "Value": "", "Rev": 281474976710656}], "AsOf": 4} |
 
   Scenario: A node recovers from all kinds of store outages
     # Errors, no answers, resets and compacted history. The node must apply the
--- a/tests/steps/platform_store.py
+++ b/tests/steps/platform_store.py
@@ -20,7 +20,7 @@
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.packets.upstreams import UpstreamRegistry
 from burdocksill.packets.watcher import StoreWatcher
-from burdocksill.platform.calls import range_pages
+from burdocksill.platform.calls import range_pages, read_era
 from burdocksill.platform.records import ALL_KEYS, MANIFEST, RecordDecoder
 from burdocksill.platform.revisions import era_of
 from burdocksill.platform.store import StoreClient
@@ -141,6 +141,19 @@
     assert context.found.revision > before, (before, context.found.revision)
 
 
+@when('the store answers with the era "{text}" while era {era:d} is known')
+def answer_era(context: Context, text: str, era: int) -> None:
+    """Read the era of an answer."""
+    reply = HttpReply(status=200, headers=(('store-era', text),))
+    context.era = read_era(reply, era)
+
+
+@then('the answer is of era {era:d}')
+def check_answer_era(context: Context, era: int) -> None:
+    """Compare the era."""
+    assert context.era == era, context.era
+
+
 @when('the store is restored between two pages of a full read')
 def restore_between(context: Context) -> None:
     """Restore the store when it has answered with the first page."""
