Let settings name the decisions under load that a deployment asks for

New decisions under load must not change deployments that do not ask for them. PacketSettings.features holds what is on: all where the settings' contracts name 'health', none elsewhere, or what BURDOCKSILL_FEATURES names. SharedLoad and the Protocol LoadView are the interface between what tells loads and what places by them; LocalLoadOnly keeps the behaviour of before. Nothing uses a feature yet.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -164,6 +164,7 @@
         table=table,
         upstreams=upstreams,
         rng=rng,
+        features=settings.features,
     )
     return PacketCore(
         datagrams=datagrams,
--- a/burdocksill/packets/main.py
+++ b/burdocksill/packets/main.py
@@ -16,6 +16,8 @@
     import_while_serving,
     run_initial_read,
 )
+from burdocksill.packets.features import VARIABLE as FEATURES_VARIABLE
+from burdocksill.packets.features import parse_features
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.platform.calls import range_pages
 from burdocksill.platform.early import (
@@ -47,7 +49,11 @@
             hint='set it to the path of the settings file',
         )
     with open(path, encoding='utf-8') as settings_file:
-        return read_node_file(settings_file.read())
+        settings = read_node_file(settings_file.read())
+    features = os.environ.get(FEATURES_VARIABLE)
+    if features is None:
+        return settings
+    return settings.evolve(features=parse_features(features))
 
 
 def read_store(settings: PacketSettings, core: PacketCore) -> None:
@@ -70,7 +76,13 @@
         sys.exit(EXIT_BAD_SETTING)
     early_lines.writer = LineWriter(node=settings.name)
     early_lines.set_level(settings.log_level)
-    logger.info('started', extra={'listen': str(settings.listen)})
+    logger.info(
+        'started',
+        extra={
+            'listen': str(settings.listen),
+            'features': sorted(one.value for one in settings.features),
+        },
+    )
     rng = Random()
     listen = (settings.listen.host, settings.listen.port)
     core = make_core(
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -6,10 +6,12 @@
 from itertools import islice
 from random import Random
 
+from burdocksill.packets.features import NO_FEATURES, Feature
 from burdocksill.packets.isolation import IsolationDetector
 from burdocksill.packets.messages import Route, WeightedService
 from burdocksill.packets.outages import DomainOutageDetector
 from burdocksill.packets.routing import RoutingTable
+from burdocksill.packets.shared_load import LocalLoadOnly
 from burdocksill.packets.upstreams import (
     KnownUpstream,
     RegistrationState,
@@ -22,6 +24,7 @@
     from typing import Final
 
     from burdocksill.packets.admission import ConcurrencyLimiter
+    from burdocksill.packets.protocols import LoadView
 
 # New flows spill over to other failure domains when the upstreams of the own
 # one have this many requests in progress for each slot. A node sees only a part
@@ -91,8 +94,10 @@
         'budget',
         'domain',
         'domains_out',
+        'features',
         'flows_until_trial',
         'isolation',
+        'load_view',
         'node_count',
         'outages',
         'rng',
@@ -111,6 +116,8 @@
         budget: ColdBudget | None = None,
         node_count: int = ASSUMED_NODES,
         outages: DomainOutageDetector | None = None,
+        load_view: LoadView | None = None,
+        features: frozenset[Feature] = NO_FEATURES,
     ) -> None:
         """Store the collaborators and start with all domains in service."""
         self.domain = domain
@@ -126,6 +133,8 @@
         self.budget: ColdBudget = ColdBudget() if budget is None else budget
         # Number of nodes that share the limit of a cold upstream.
         self.node_count = node_count
+        self.load_view: LoadView = load_view or LocalLoadOnly()
+        self.features = features
         self.outages: DomainOutageDetector = outages or DomainOutageDetector(
             upstreams,
         )
--- a/burdocksill/packets/protocols.py
+++ b/burdocksill/packets/protocols.py
@@ -6,6 +6,7 @@
 from burdocksill.packets.admission import ConcurrencyLimiter
 from burdocksill.packets.flows import FlowKey
 from burdocksill.packets.messages import Route
+from burdocksill.packets.shared_load import SharedLoad
 from burdocksill.packets.upstreams import KnownUpstream
 from burdocksill.packets.verdicts import Reason
 
@@ -44,3 +45,24 @@
         repeat: int,
     ) -> None:
         """Log an opening that was refused because of overload."""
+
+
+class LoadView(Protocol):
+    """Load of upstreams as all nodes of a failure domain see it together."""
+
+    def load_of(self, upstream: KnownUpstream, now: float) -> SharedLoad | None:
+        """Return an upstream's load; None without recent reports."""
+
+    def spare_slots(
+        self, service: str, domain: str, now: float
+    ) -> float | None:
+        """Return the free slots of a service in a domain; None if unknown.
+
+        Negative when more requests are in progress than there are slots.
+        """
+
+    def node_count(self, now: float) -> int | None:
+        """Return the number of nodes of the deployment; None if unknown."""
+
+    def record_placed(self, upstream: KnownUpstream, now: float) -> None:
+        """Count a new flow of this node until the next reports include it."""
--- a/burdocksill/packets/settings.py
+++ b/burdocksill/packets/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burdocksill.network.addresses import Address
+from burdocksill.packets.features import NO_FEATURES, Feature
 from burdocksill.values import Value
 
 TYPE_CHECKING = False
@@ -20,6 +21,7 @@
     __slots__ = (
         'cores',
         'domain',
+        'features',
         'listen',
         'log_level',
         'name',
@@ -41,6 +43,7 @@
         cores: float = 1.0,
         stop_seconds: float = DEFAULT_STOP_SECONDS,
         log_level: str = 'INFO',
+        features: frozenset[Feature] = NO_FEATURES,
     ) -> None:
         """Store the arguments."""
         self.name = name
@@ -55,3 +58,4 @@
         self.cores = cores
         self.stop_seconds = stop_seconds
         self.log_level = log_level
+        self.features = features
--- a/burdocksill/platform/node_file.py
+++ b/burdocksill/platform/node_file.py
@@ -6,6 +6,7 @@
 
 from burdocksill.conf.exceptions import SettingAddressError, SettingMissingError
 from burdocksill.network.addresses import Address
+from burdocksill.packets.features import ALL_FEATURES, NO_FEATURES, Feature
 from burdocksill.packets.settings import DEFAULT_STOP_SECONDS, PacketSettings
 from burdocksill.platform.early import PACKETS, PROBES, VARIABLE
 
@@ -15,6 +16,8 @@
 
 # The process must exit before the platform sends SIGKILL.
 STOP_MARGIN_SECONDS: Final = 1.0
+# Contract of deployments whose upstreams fail in part.
+HEALTH_CONTRACT: Final = 'health'
 
 
 def read_fields(text: str) -> dict[str, str]:
@@ -63,9 +66,16 @@
         cores=read_cores(fields),
         stop_seconds=read_stop(fields),
         log_level=fields.get('LogLevel', 'INFO'),
+        features=read_features(fields),
     )
 
 
+def read_features(fields: dict[str, str]) -> frozenset[Feature]:
+    """Return the features that the contracts in force ask for."""
+    contracts = fields.get('Contracts', '').split(',')
+    return ALL_FEATURES if HEALTH_CONTRACT in contracts else NO_FEATURES
+
+
 def read_peer(fields: dict[str, str]) -> Address | None:
     """Return this node's address for peers, None if it has none."""
     port = peer_port(fields)
