Count the deferral of restored entries by the age of the data

Ruled out: a longer deferral, which only moves the case to older data. Change: a deferred entry is applied once data as young as the end of its time still shows it. Test: 'Restored entries wait for data that is young enough' failed before. The step that lets time pass now reads each second that nothing has changed, as a node with a working reader does; a node without readings is what the new scenario is about, so that no check is weaker.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -138,7 +138,7 @@
         """Expire idle flows, old upstreams, suspicions and deferrals."""
         self.updater.upstreams.remove_expired(now)
         self.updater.placer.outages.expire_suspicions(now)
-        self.updater.apply_deferred(now)
+        self.updater.apply_deferred(now, now - self.progress.age())
         manifest = self.updater.table.manifest
         if manifest is not None:
             flows = self.forwarder.flows
--- a/burdocksill/packets/restored.py
+++ b/burdocksill/packets/restored.py
@@ -80,16 +80,18 @@
         """Drop the deferred update of a key that was written again."""
         self.deferred.pop(key, None)
 
-    def pop_due(self, now: float) -> Iterator[tuple[str, StoreUpdate]]:
+    def pop_due(self, synced_at: float) -> Iterator[tuple[str, StoreUpdate]]:
         """Yield and remove the updates that still stand after their time.
 
-        The time is counted only while the store is healthy.
+        The time is counted only while the store is healthy, and up to the age
+        of the data: what was written since is not known yet.
         """
         healthy_since = self.upstreams.store_healthy_since
         if not healthy_since:
             return
         for key, deferred in list(self.deferred.items()):
-            if now - max(deferred.since, healthy_since) >= deferred.seconds:
+            since = max(deferred.since, healthy_since)
+            if synced_at - since >= deferred.seconds:
                 del self.deferred[key]
                 yield key, deferred.update
 
--- a/burdocksill/packets/updater.py
+++ b/burdocksill/packets/updater.py
@@ -95,9 +95,12 @@
             and update.manifest.version <= self.table.version
         )
 
-    def apply_deferred(self, now: float) -> None:
-        """Apply restored entries that were not written again in time."""
-        for key, update in self.restore_policy.pop_due(now):
+    def apply_deferred(self, now: float, synced_at: float) -> None:
+        """Apply restored entries that were not written again in time.
+
+        All changes up to `synced_at` are known, by the clock of `now`.
+        """
+        for key, update in self.restore_policy.pop_due(synced_at):
             logger.info('restored entry applied', extra={'key': key})
             self.apply(update, now)
 
--- a/tests/packets/restored.feature
+++ b/tests/packets/restored.feature
@@ -69,6 +69,15 @@
     Then it is out at once
     And it is back after 3 seconds
 
+  Scenario: Restored entries wait for data that is young enough
+    Guards against an outdated entry applied by a node that learns nothing.
+    Given a node that knows a domain that is out
+    When the store is restored and shows that it is back
+    And the node learns nothing for 5 seconds
+    Then it is out at once
+    When operators take it out
+    Then it is out after 6 seconds
+
   Scenario: A manifest does not go back
     Guards against routes that operators have replaced.
     Given a node that has manifest 7 in force
--- a/tests/steps/packets_restored.py
+++ b/tests/steps/packets_restored.py
@@ -85,6 +85,7 @@
     context.node = context.world.add_node('a')
     # The world's own changes would take part in the revisions.
     context.node.receives_updates = False
+    context.is_cut_off = False
     read(context, {}, BEFORE)
 
 
@@ -170,11 +171,26 @@
     core.store_cache.apply_changes(found, context.world.timeline.now)
 
 
+@when('the node learns nothing for {seconds:d} seconds')
+def cut_off(context: Context, seconds: int) -> None:
+    """Let time pass without a reading; the store works meanwhile."""
+    context.is_cut_off = True
+    pass_time(context, seconds)
+    context.is_cut_off = False
+
+
 def pass_time(context: Context, seconds: int) -> None:
-    """Let time pass, with the node's periodic work."""
+    """Let time pass, with the node's periodic work.
+
+    The node reads each second that nothing has changed, unless it is cut off.
+    """
     for _ in range(seconds):
         context.world.timeline.run(1.0)
-        core_of(context).expire_idle(context.world.timeline.now)
+        core = core_of(context)
+        if not context.is_cut_off:
+            found = Snapshot(values=(), revision=core.progress.revision)
+            core.store_cache.apply_changes(found, context.world.timeline.now)
+        core.expire_idle(context.world.timeline.now)
 
 
 def show_use(context: Context) -> str:
