Let the checks use the cores beside the tests of real processes

Change: the features of real processes run one at a time as before, but beside the others; the slowest features run as one unit a scenario, slowest first.

--- a/tools/verify.py
+++ b/tools/verify.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, Final
@@ -16,9 +17,17 @@
 ROOT: Final = Path(__file__).resolve().parent.parent
 BIN: Final = Path(sys.executable).parent
 TESTS: Final = ROOT / 'tests'
-# The slowest feature, so each of its scenarios is run separately.
-PROOFS: Final = str(TESTS / 'lab' / 'promises.feature')
-SCENARIO_LINES: Final = ('      | ', '  Scenario:')
+# The slowest features: each of their scenarios is run separately, the slowest
+# feature first, so that the last ones do not run alone at the end.
+SLOW_FEATURES: Final = (
+    'lab/promises.feature',
+    'readers/fleet.feature',
+    'packets/outages.feature',
+    'readers/restored.feature',
+    'packets/admission.feature',
+)
+# Cores that are left to the features with real processes, which run meanwhile.
+REAL_PROCESS_CORES: Final = 3
 KNOWN_RED: Final = ROOT / 'KNOWN-RED.txt'
 CHECKS: Final = (
     ('ruff format', ('ruff', 'format', '--check', '.')),
@@ -65,45 +74,66 @@
     """Run all features and count each scenario, in the order of the files.
 
     Features on the virtual clock run in parallel. Those that start real
-    processes run one at a time, as they would slow each other down.
+    processes run one at a time, as they would slow each other down, beside
+    the others.
     """
     features = sorted(str(path) for path in TESTS.rglob('*.feature'))
     alone = [path for path in features if path.endswith(REAL_PROCESSES)]
     units = [
         unit for path in features if path not in alone for unit in split(path)
     ]
-    longest_first = sorted(units, key=lambda unit: not unit.startswith(PROOFS))
-    with ThreadPoolExecutor(workers()) as pool:
-        reports = dict(
-            zip(
-                longest_first,
-                pool.map(run_feature, longest_first),
-                strict=True,
-            ),
-        )
-    for path in alone:
-        reports[path] = run_feature(path)
+    slowest_first = sorted(units, key=slowness)
+    with (
+        ThreadPoolExecutor(1) as one_at_a_time,
+        ThreadPoolExecutor(workers()) as pool,
+    ):
+        real = one_at_a_time.map(run_feature, alone)
+        virtual = pool.map(run_feature, slowest_first)
+        reports = dict(zip(slowest_first, virtual, strict=True))
+        reports |= dict(zip(alone, real, strict=True))
     for unit in (*units, *alone):
         count_feature(tally, unit, reports[unit])
 
 
+def slowness(unit: str) -> int:
+    """Return the rank of a unit; those of a lower rank start first."""
+    for rank, name in enumerate(SLOW_FEATURES):
+        if f'{TESTS / name}:' in unit:
+            return rank
+    return len(SLOW_FEATURES)
+
+
 def split(path: str) -> list[str]:
-    """Return the units to run: a feature, or each scenario of PROOFS."""
-    if path != PROOFS:
+    """Return the units to run: a feature, or each scenario of a slow one."""
+    if not path.endswith(SLOW_FEATURES):
         return [path]
-    lines = Path(path).read_text().splitlines()
-    rows = [
-        number
-        for number, line in enumerate(lines, start=1)
-        if line.startswith(('      | ', '  Scenario:'))
-        and '| name ' not in line
-    ]
-    return [f'{path}:{number}' for number in rows]
+    return [f'{path}:{line}' for line in scenario_lines(Path(path).read_text())]
+
+
+def scenario_lines(feature: str) -> list[int]:
+    """Return the lines of scenarios and of rows of outlines' examples."""
+    lines: list[int] = []
+    # None outside of examples, else the number of rows up to this line.
+    rows: int | None = None
+    for number, line in enumerate(feature.splitlines(), start=1):
+        text = line.strip()
+        if text.startswith('Examples:'):
+            rows = 0
+        elif rows is not None and text.startswith('|'):
+            rows += 1
+            # The first row holds the names of the columns.
+            if rows > 1:
+                lines.append(number)
+        elif text and not text.startswith('#'):
+            rows = None
+            if text.startswith('Scenario:'):
+                lines.append(number)
+    return lines
 
 
 def workers() -> int:
-    """Return how many features run in parallel."""
-    return max(1, (os.cpu_count() or 1) - 2)
+    """Return how many features on the virtual clock run in parallel."""
+    return max(1, (os.cpu_count() or 1) - REAL_PROCESS_CORES)
 
 
 @attrs.frozen(kw_only=True)
@@ -112,11 +142,13 @@
 
     code: int
     output: str
+    seconds: float
     features: list[dict[str, Any]]
 
 
 def run_feature(path: str) -> Report:
     """Run one feature in its own process."""
+    began_at = time.monotonic()
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
         command: list[str | Path] = [
@@ -139,11 +171,17 @@
             )
         except subprocess.TimeoutExpired:
             timed_out = f'no end in {FEATURE_SECONDS} s'
-            return Report(code=2, output=timed_out, features=[])
+            return Report(
+                code=2,
+                output=timed_out,
+                seconds=FEATURE_SECONDS,
+                features=[],
+            )
         features = json.loads(report.read_text()) if report.exists() else []
     return Report(
         code=completed.returncode,
         output=completed.stdout + completed.stderr,
+        seconds=time.monotonic() - began_at,
         features=features,
     )
 
@@ -159,7 +197,8 @@
     ]
     complete = report.code in {0, 1} and bool(scenarios)
     good = report.code == 0 and complete
-    print(f'{"ok    " if good else "failed"} {name}', flush=True)
+    result = 'ok    ' if good else 'failed'
+    print(f'{result} {name} ({report.seconds:.0f} s)', flush=True)
     for feature, scenario in scenarios:
         count_scenario(tally, feature, scenario)
     if not good:
