--- a/burdocksill/packets/reload.py
+++ b/burdocksill/packets/reload.py
@@ -16,8 +16,16 @@
 
 # Polling interval: the file may change without a signal.
 POLL_SECONDS: Final = 2.0
-# Settings that need a restart: the sockets and the identity of the node.
-RESTART_FIELDS: Final = ('name', 'domain', 'listen', 'ready', 'peer', 'cores')
+# Settings that need a restart: sockets, the node's identity and its features.
+RESTART_FIELDS: Final = (
+    'name',
+    'domain',
+    'listen',
+    'ready',
+    'peer',
+    'cores',
+    'features',
+)
 
 logger = logging.getLogger(__name__)
 
