Place new flows by the load that all nodes report

Cause: a node sees one flow in twenty of a large domain and takes the least loaded upstream by its own count, so that upstreams differ by chance.

Change: with the feature shared-placement a node draws an upstream by probabilities that level the reported loads over all nodes. The limit of a cold upstream is divided by the counted nodes. Trials and slow start leave placement.py.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -165,6 +165,7 @@
         upstreams=upstreams,
         rng=rng,
         features=settings.features,
+        spillover_start=settings.spillover_start,
     )
     return PacketCore(
         datagrams=datagrams,
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -6,12 +6,19 @@
 from itertools import islice
 from random import Random
 
+from burdocksill.packets.balancing import (
+    SharedLoadBalancer,
+    weighted_load,
+)
 from burdocksill.packets.features import NO_FEATURES, Feature
 from burdocksill.packets.isolation import IsolationDetector
 from burdocksill.packets.messages import Route, WeightedService
 from burdocksill.packets.outages import DomainOutageDetector
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.shared_load import LocalLoadOnly
+from burdocksill.packets.slow_start import ColdAdmission
+from burdocksill.packets.spillover import DEFAULT_START, Spillover
+from burdocksill.packets.trials import TrialSchedule
 from burdocksill.packets.upstreams import (
     KnownUpstream,
     RegistrationState,
@@ -34,18 +41,12 @@
 # An upstream in slow start needs longer for each request, and its flows stay
 # after that.
 COLD_LOAD_FACTOR: Final = 1.6
-# A request in progress occupies a slot now, an open flow only later again.
-IN_PROGRESS_WEIGHT: Final = 2
 # Number of random candidates whose loads are compared. The best of them is
 # nearly the best of all, and nodes don't all choose the same upstream.
 SAMPLE_SIZE: Final = 16
 # If a service has more upstreams than this, a sample of all domains is tried
 # before all upstreams are ranked.
 MAX_FULL_SCAN: Final = 64
-# Nodes do not know each other. The limit of an upstream in slow start is
-# divided as if there were this many nodes. Larger fleets exceed the limit; the
-# capacity page says what carries their flows.
-ASSUMED_NODES: Final = 16
 # Ranks of candidates: those of a lower rank are preferred.
 HEALTHY: Final = 0
 # Its domain is suspected, and it has not answered since.
@@ -53,56 +54,29 @@
 EJECTED: Final = 2
 EXPIRED: Final = 3
 RANKS: Final = 4
-# One of this many new flows is sent to a suspected domain as a trial. It finds
-# upstreams that answer again, while all other flows go to other domains.
-TRIAL_INTERVAL: Final = 16
-# Trials of a domain with several missed openings are rarer. Most fail, and a
-# client whose tries are all trials on different nodes is not served.
-CONFIRMED_TRIAL_INTERVAL: Final = 64
 NO_EXCLUSIONS: Final[frozenset[str]] = frozenset()
 
 
-class ColdBudget:
-    """Limit the rate of new flows from this node to each cold upstream.
-
-    Flows are spaced evenly. If each node could send a second's worth at once,
-    the bursts of all nodes together would overload the upstream.
-    """
-
-    __slots__ = ('next_at',)
-
-    def __init__(self) -> None:
-        """Start without upstreams."""
-        self.next_at: dict[str, float] = {}
-
-    def admit(self, name: str, now: float, per_second: float) -> bool:
-        """Count a flow if the interval since the last is long enough."""
-        if now < self.next_at.get(name, 0):
-            return False
-        self.next_at[name] = now + 1 / per_second
-        return True
-
-
 class PacketPlacer:
     """Choose the least loaded upstream, preferably of the own failure domain.
 
-    The load counts only flows and requests of this node. Nodes do not share it,
-    so they don't all choose the same upstream at once.
+    Without shared loads it counts only flows and requests of this node. Nodes
+    then know different loads, so they don't all choose the same upstream.
     """
 
     __slots__ = (
-        'budget',
+        'balancer',
+        'cold',
         'domain',
         'domains_out',
         'features',
-        'flows_until_trial',
         'isolation',
         'load_view',
-        'node_count',
         'outages',
         'rng',
+        'spillover',
         'table',
-        'trial_interval',
+        'trials',
         'upstreams',
     )
 
@@ -113,11 +87,10 @@
         table: RoutingTable,
         upstreams: UpstreamRegistry,
         rng: Random,
-        budget: ColdBudget | None = None,
-        node_count: int = ASSUMED_NODES,
         outages: DomainOutageDetector | None = None,
         load_view: LoadView | None = None,
         features: frozenset[Feature] = NO_FEATURES,
+        spillover_start: float = DEFAULT_START,
     ) -> None:
         """Store the collaborators and start with all domains in service."""
         self.domain = domain
@@ -126,14 +99,7 @@
         self.rng = rng
         # Failure domains that operators have taken out of service.
         self.domains_out: set[str] = set()
-        # The current interval of trials, 0 for none, and the countdown to the
-        # next one.
-        self.trial_interval: int = 0
-        self.flows_until_trial: int = 0
-        self.budget: ColdBudget = ColdBudget() if budget is None else budget
-        # Number of nodes that share the limit of a cold upstream.
-        self.node_count = node_count
-        self.load_view: LoadView = load_view or LocalLoadOnly()
+        self.cold = ColdAdmission(table)
         self.features = features
         self.outages: DomainOutageDetector = outages or DomainOutageDetector(
             upstreams,
@@ -144,6 +110,40 @@
             upstreams=upstreams,
             outages=self.outages,
         )
+        self.trials = TrialSchedule(
+            domain=domain,
+            domains_out=self.domains_out,
+            isolation=self.isolation,
+            rng=rng,
+        )
+        self.use_load_view(load_view or LocalLoadOnly(), spillover_start)
+
+    def use_load_view(
+        self,
+        load_view: LoadView,
+        spillover_start: float = DEFAULT_START,
+    ) -> None:
+        """Decide by other loads, as far as the features ask for it."""
+        self.load_view = load_view
+        self.balancer: SharedLoadBalancer | None = None
+        self.spillover: Spillover | None = None
+        if Feature.SHARED_PLACEMENT in self.features:
+            self.balancer = SharedLoadBalancer(
+                load_view=load_view,
+                upstreams=self.upstreams,
+                rng=self.rng,
+            )
+            self.cold.count_nodes(load_view, self.rng)
+        if Feature.SPILLOVER in self.features:
+            self.spillover = Spillover(
+                domain=self.domain,
+                domains_out=self.domains_out,
+                load_view=load_view,
+                upstreams=self.upstreams,
+                outages=self.outages,
+                rng=self.rng,
+                start=spillover_start,
+            )
 
     def place(
         self,
@@ -162,6 +162,9 @@
                 exclude,
             )
             if isinstance(chosen, KnownUpstream):
+                self.load_view.record_placed(chosen, now)
+                if self.balancer is not None:
+                    self.balancer.record_placed(chosen, now)
                 return chosen
             if chosen is Reason.OVERLOADED:
                 reason = chosen
@@ -204,12 +207,18 @@
         Usually the own failure domain has a healthy one. Then the others are
         not looked at, because a large fleet has many of them.
         """
-        max_rank = SUSPECTED if self.is_trial(now) else HEALTHY
+        max_rank = (
+            SUSPECTED if self.trials.is_trial(self.outages, now) else HEALTHY
+        )
         if max_rank == HEALTHY and self.isolation.is_isolated(now):
             fallback = self.healthy_local(service, now)
             chosen = self.first_admitting(fallback, urgency, now)
             if chosen is not None:
                 return chosen
+        if max_rank == HEALTHY:
+            away = self.place_away(service, urgency, now, exclude)
+            if away is not None:
+                return away
         local = self.place_local(service, urgency, now, exclude, max_rank)
         if local is not None:
             return local
@@ -245,37 +254,6 @@
         )
         return list(islice(healthy, SAMPLE_SIZE))
 
-    def is_trial(self, now: float) -> bool:
-        """Return True for the flows that probe suspected domains."""
-        interval = self.next_trial_interval(now)
-        if interval != self.trial_interval:
-            self.trial_interval = interval
-            # The nodes of a domain start at different counts.
-            self.flows_until_trial = 1 + int(self.rng.random() * interval)
-        if not interval:
-            return False
-        self.flows_until_trial -= 1
-        if self.flows_until_trial:
-            return False
-        self.flows_until_trial = interval
-        return True
-
-    def next_trial_interval(self, now: float) -> int:
-        """Return after how many new flows one is a trial, 0 for none.
-
-        If the own domain is out of service and isolated, they probe the others.
-        """
-        if self.outages.is_outage_confirmed(self.domain, now):
-            return CONFIRMED_TRIAL_INTERVAL
-        if self.outages.is_domain_avoided(self.domain, now):
-            return TRIAL_INTERVAL
-        if (
-            self.domain in self.domains_out
-            and self.isolation.are_others_suspected(now)
-        ):
-            return TRIAL_INTERVAL
-        return 0
-
     def healthy_local(self, service: str, now: float) -> list[KnownUpstream]:
         """Return the healthy upstreams of the own failure domain."""
         return [
@@ -315,10 +293,28 @@
         for upstream in self.by_preference(candidates, now):
             if not upstream.admits(urgency):
                 reason = Reason.OVERLOADED
-            elif not upstream.is_cold(now) or self.admit_cold(upstream, now):
+            elif not upstream.is_cold(now) or self.cold.admit(upstream, now):
                 return upstream
         return reason
 
+    def place_away(
+        self,
+        service: str,
+        urgency: int,
+        now: float,
+        exclude: Container[str],
+    ) -> KnownUpstream | None:
+        """Return an upstream of another domain if the flow should leave."""
+        if self.spillover is None or self.domain in self.domains_out:
+            return None
+        domain = self.spillover.choose_domain(service, now)
+        if domain is None:
+            return None
+        chosen = self.place_in_domain(service, domain, urgency, now, exclude)
+        if chosen is not None:
+            self.spillover.record_placed(chosen)
+        return chosen
+
     def place_local(
         self,
         service: str,
@@ -330,14 +326,55 @@
         """Return an upstream of the own domain that has capacity, or None."""
         if self.domain in self.domains_out:
             return None
-        eligible = (
-            upstream
-            for upstream in self.in_random_order(service, [self.domain])
-            if self.upstreams.is_available(upstream, now)
-            and self.rank(upstream, now, exclude) <= max_rank
-            and has_capacity(upstream, urgency, now)
+        may_queue = self.spillover is not None and self.spillover.is_known(
+            service, now
         )
-        found = list(islice(eligible, SAMPLE_SIZE))
+        return self.place_in_domain(
+            service,
+            self.domain,
+            urgency,
+            now,
+            exclude,
+            max_rank=max_rank,
+            may_queue=may_queue,
+        )
+
+    def place_in_domain(
+        self,
+        service: str,
+        domain: str,
+        urgency: int,
+        now: float,
+        exclude: Container[str],
+        *,
+        max_rank: int = HEALTHY,
+        may_queue: bool = False,
+    ) -> KnownUpstream | None:
+        """Return an upstream of a domain that has capacity, or None.
+
+        With `may_queue` upstreams that queue as this node sees them count too.
+        """
+
+        def is_healthy(upstream: KnownUpstream) -> bool:
+            return self.rank(upstream, now, NO_EXCLUSIONS) == HEALTHY
+
+        def is_usable(upstream: KnownUpstream) -> bool:
+            if upstream.is_cold(now) or not upstream.admits(urgency):
+                return False
+            return (
+                self.upstreams.is_available(upstream, now)
+                and self.rank(upstream, now, exclude) <= max_rank
+                and (may_queue or not is_queueing(upstream))
+            )
+
+        if self.balancer is not None and max_rank == HEALTHY:
+            chosen = self.balancer.choose(
+                service, domain, now, is_healthy, is_usable
+            )
+            if chosen is not None:
+                return chosen
+        candidates = self.in_random_order(service, [domain])
+        found = list(islice(filter(is_usable, candidates), SAMPLE_SIZE))
         ordered = self.by_preference(found, now)
         return ordered[0] if ordered else None
 
@@ -405,33 +442,13 @@
     def load(self, upstream: KnownUpstream, now: float) -> float:
         """Return the weighted flows and requests for each slot."""
         load = (
-            upstream.flows + upstream.waiting * IN_PROGRESS_WEIGHT
-        ) / upstream.record.slots
+            weighted_load(upstream.flows, upstream.waiting)
+            / upstream.record.slots
+        )
         if upstream.is_cold(now):
             load = (load + 1) * COLD_LOAD_FACTOR
         return load
 
-    def cold_limit(self, service: str) -> float:
-        """Return this node's share of a cold upstream's limit per second."""
-        limit = self.table.limits(service).cold_per_second
-        return limit / max(1, self.node_count) if limit else float('inf')
-
-    def admit_cold(self, upstream: KnownUpstream, now: float) -> bool:
-        """Count a new flow on a cold upstream if its limit admits it."""
-        limit = self.cold_limit(upstream.record.service)
-        if limit == float('inf'):
-            return True
-        return self.budget.admit(upstream.record.name, now, limit)
-
-
-def has_capacity(upstream: KnownUpstream, urgency: int, now: float) -> bool:
-    """Return True when it is not cold and can answer without queueing."""
-    return (
-        not upstream.is_cold(now)
-        and not is_queueing(upstream)
-        and upstream.admits(urgency)
-    )
-
 
 def is_queueing(upstream: KnownUpstream) -> bool:
     """Return True when this node's requests show that an upstream queues."""
--- a/burdocksill/packets/settings.py
+++ b/burdocksill/packets/settings.py
@@ -4,6 +4,7 @@
 
 from burdocksill.network.addresses import Address
 from burdocksill.packets.features import NO_FEATURES, Feature
+from burdocksill.packets.spillover import DEFAULT_START
 from burdocksill.values import Value
 
 TYPE_CHECKING = False
@@ -28,6 +29,7 @@
         'peer',
         'platform',
         'ready',
+        'spillover_start',
         'stop_seconds',
     )
 
@@ -59,3 +61,6 @@
         self.stop_seconds = stop_seconds
         self.log_level = log_level
         self.features = features
+        # Requests in progress for each slot of the own domain from which new
+        # flows leave it. Higher values cause less traffic between domains.
+        self.spillover_start = DEFAULT_START
