--- a/burdocksill/packets/spillover.py
+++ b/burdocksill/packets/spillover.py
@@ -1,9 +1,8 @@
 """Spillover of new flows to other failure domains, by reported room.
 
-The part of the flows that leaves rises in proportion to how full the own domain
-is, and ends before its upstreams queue. It depends on the current load only and
-accumulates nothing: flows live for up to a minute, so a part that rises for as
-long as room is lacking would overshoot by the load of all flows still open.
+The fraction that leaves follows from the demand: the requests of the own domain
+at home and elsewhere. Moving a flow does not change the demand, so the fraction
+does not swing, although reports are old and flows live for up to a minute.
 """
 
 from __future__ import annotations
@@ -23,21 +22,30 @@
 
     from burdocksill.packets.protocols import LoadView
 
-# Requests in progress for each slot of the own domain from which new flows
-# leave it. Lower values keep more slots free, higher ones save traffic between
-# domains. The default of the settings.
-DEFAULT_START: Final = 0.65
-# All new flows leave when it is this much above the start.
-RANGE: Final = 0.35
+# Requests in progress for each slot to which the own domain is filled before
+# new flows leave it. Lower values keep more slots free, higher ones save traffic
+# between domains. The default of the settings.
+DEFAULT_START: Final = 0.75
+# Above this load requests queue at home. More flows leave then, by this factor,
+# because those that are open stay.
+QUEUEING_LOAD: Final = 0.95
+QUEUEING_FACTOR: Final = 0.5
 # Part of another domain's slots that is left free for its own flows, and the
 # free part above that from which it takes as many flows as the others lack.
 RESERVED_ROOM: Final = 0.1
-AMPLE_ROOM: Final = 0.15
+AMPLE_ROOM: Final = 0.3
 # Load and room are evaluated again after this time.
 UPDATE_SECONDS: Final = 0.1
-# Time constants of the smoothed load. Flows return sooner than they leave.
-RISE_SECONDS: Final = 0.5
-FALL_SECONDS: Final = 0.15
+# Time constant of the room elsewhere.
+ROOM_SECONDS: Final = 1.0
+# Time constant of requests at home and elsewhere. It is the same for both, so
+# that a flow which moves from one to the other leaves the demand as it is.
+LOAD_SECONDS: Final = 0.7
+# This node's requests count together with this many that are divided like new
+# flows.
+PRIOR_REQUESTS: Final = 0.5
+# The demand is derived from at least this part of it that is at home.
+MIN_HOME_SHARE: Final = 0.05
 # Changes of the fraction are logged from this difference on, and at most this
 # often for each service.
 LOGGED_CHANGE: Final = 0.25
@@ -51,7 +59,11 @@
     """Hold which fraction of a service's new flows leaves the own domain."""
 
     __slots__ = (
+        'available',
+        'away',
         'fraction',
+        'home',
+        'in_progress',
         'is_known',
         'load',
         'logged_at',
@@ -65,19 +77,52 @@
         self.fraction: float = 0
         # True while the loads of the own and of another domain are reported.
         self.is_known = False
-        # Requests in progress for each slot of the own domain, smoothed.
+        # Requests in progress at home, smoothed, and for each slot.
+        self.in_progress: float = 0
         self.load: float = 0
         # Free slots by domain, without the reserved ones.
         self.room: dict[str, float] = {}
+        # Part of the lacking room that the others have, smoothed.
+        self.available: float = 0
+        # This node's requests in progress at home and elsewhere, smoothed.
+        self.home: float = 0
+        self.away: float = 0
         self.updated_at = float('-inf')
         self.logged_at = float('-inf')
         self.logged_fraction: float = 0
 
-    def smooth_load(self, load: float, now: float) -> None:
-        """Move the load towards the current one."""
-        seconds = RISE_SECONDS if load > self.load else FALL_SECONDS
+    def smooth_requests(self, in_progress: float, now: float) -> None:
+        """Move the requests at home towards the current ones."""
+        weight = self.weight(LOAD_SECONDS, now)
+        self.in_progress += (in_progress - self.in_progress) * weight
+
+    def smooth_available(self, available: float, now: float) -> None:
+        """Move the available part towards the current one."""
+        weight = self.weight(ROOM_SECONDS, now)
+        self.available += (available - self.available) * weight
+
+    def smooth_own_requests(self, home: int, away: int, now: float) -> None:
+        """Move this node's requests towards the current ones."""
+        weight = self.weight(LOAD_SECONDS, now)
+        self.home += (home - self.home) * weight
+        self.away += (away - self.away) * weight
+
+    def weight(self, seconds: float, now: float) -> float:
+        """Return the weight of a new value, given a time constant."""
         elapsed = max(0, now - self.updated_at)
-        self.load += (load - self.load) * (1 - math.exp(-elapsed / seconds))
+        return 1 - math.exp(-elapsed / seconds)
+
+    def away_share(self) -> float:
+        """Return which part of the domain's requests runs elsewhere."""
+        away = self.away + PRIOR_REQUESTS * self.fraction
+        return away / (self.home + self.away + PRIOR_REQUESTS)
+
+    def lacking_fraction(self, start: float) -> float:
+        """Return the fraction of new flows for which there is no room."""
+        demand = self.load / max(1 - self.away_share(), MIN_HOME_SHARE)
+        fraction = 1 - start / demand if demand > start else 0
+        queueing = max(0, self.load - QUEUEING_LOAD)
+        return within_one(fraction + queueing * QUEUEING_FACTOR)
 
     def should_log(self, now: float) -> bool:
         """Return True when a change of the fraction is worth a line."""
@@ -158,51 +203,70 @@
         now: float,
     ) -> None:
         """Evaluate the load of the own domain and the room elsewhere."""
-        home = self.load_at_home(service, now)
-        slots: dict[str, float] = {}
+        home = self.requests_at_home(service, now)
+        home_slots = self.slots(service, self.domain, now)
+        slots: dict[str, int] = {}
         spare: dict[str, float] = {}
         for domain in self.eligible_domains(service, now):
             reported = self.load_view.spare_slots(service, domain, now)
             if reported is not None:
-                slots[domain] = sum(
-                    upstream.record.slots
-                    for upstream in self.serving(service, domain, now)
-                )
+                slots[domain] = self.slots(service, domain, now)
                 spare[domain] = reported
         state.is_known = home is not None and bool(spare)
-        if home is None:
-            state.load = 0
-        else:
-            state.smooth_load(home, now)
+        state.smooth_requests(home or 0, now)
+        state.load = state.in_progress / max(1, home_slots)
         state.room = {
             name: free - RESERVED_ROOM * slots[name]
             for name, free in spare.items()
             if free > RESERVED_ROOM * slots[name]
         }
-        lacking = within_one((state.load - self.start) / RANGE)
         ample = AMPLE_ROOM * sum(slots.values())
         available = within_one(sum(state.room.values()) / max(1, ample))
-        state.fraction = lacking * available if state.is_known else 0
+        state.smooth_available(available, now)
+        state.smooth_own_requests(*self.own_requests(service), now)
+        lacking = state.lacking_fraction(self.start)
+        state.fraction = (
+            lacking * state.available if state.is_known and state.room else 0
+        )
         self.log_change(service, state, now)
 
-    def load_at_home(self, service: str, now: float) -> float | None:
-        """Return the requests in progress for each slot; None if unknown.
+    def own_requests(self, service: str) -> tuple[int, int]:
+        """Return this node's requests in progress at home and elsewhere."""
+        away = 0
+        home = 0
+        for domain in self.upstreams.by_service.get(service, {}):
+            waiting = sum(
+                upstream.waiting
+                for upstream in self.upstreams.candidates(service, domain)
+            )
+            if domain == self.domain:
+                home = waiting
+            else:
+                away += waiting
+        return home, away
+
+    def requests_at_home(self, service: str, now: float) -> float | None:
+        """Return the requests in progress; None if unknown.
 
-        Infinite loads are avoided: a domain without upstreams has no flows to
-        keep, and the placement looks elsewhere without being asked.
+        Upstreams that are not serving don't count, and neither do their slots.
         """
-        slots = 0
         in_progress: float = 0
         is_known = False
         for upstream in self.serving(service, self.domain, now):
             report = self.load_view.load_of(upstream, now)
-            slots += upstream.record.slots
             if report is None:
                 in_progress += upstream.waiting
             else:
                 is_known = True
                 in_progress += max(report.in_progress, upstream.waiting)
-        return in_progress / slots if is_known else None
+        return in_progress if is_known else None
+
+    def slots(self, service: str, domain: str, now: float) -> int:
+        """Return the slots of the upstreams that take all their flows."""
+        return sum(
+            upstream.record.slots
+            for upstream in self.serving(service, domain, now)
+        )
 
     def eligible_domains(self, service: str, now: float) -> list[str]:
         """Return the other domains that may take flows."""
