--- a/burdocksill/packets/spillover.py
+++ b/burdocksill/packets/spillover.py
@@ -43,7 +43,7 @@
 LOAD_SECONDS: Final = 0.7
 # This node's requests count together with this many that are divided like new
 # flows.
-PRIOR_REQUESTS: Final = 0.5
+PRIOR_REQUESTS: Final = 2
 # Requests of one upstream count up to this many for each of its slots, so that
 # one wrong report moves few flows.
 MAX_REPORTED: Final = 2
@@ -71,6 +71,7 @@
         'load',
         'logged_at',
         'logged_fraction',
+        'recent_fraction',
         'room',
         'updated_at',
     )
@@ -78,6 +79,8 @@
     def __init__(self) -> None:
         """Start without known loads."""
         self.fraction: float = 0
+        # The fraction that left recently, smoothed like the requests.
+        self.recent_fraction: float = 0
         # True while the loads of the own and of another domain are reported.
         self.is_known = False
         # Requests in progress at home, smoothed, and for each slot.
@@ -108,6 +111,7 @@
         """Move this node's requests towards the current ones."""
         weight = self.weight(LOAD_SECONDS, now)
         self.home += (home - self.home) * weight
+        self.recent_fraction += (self.fraction - self.recent_fraction) * weight
         self.away += (away - self.away) * weight
 
     def weight(self, seconds: float, now: float) -> float:
@@ -117,7 +121,7 @@
 
     def away_share(self) -> float:
         """Return which part of the domain's requests runs elsewhere."""
-        away = self.away + PRIOR_REQUESTS * self.fraction
+        away = self.away + PRIOR_REQUESTS * self.recent_fraction
         return away / (self.home + self.away + PRIOR_REQUESTS)
 
     def lacking_fraction(self, start: float) -> float:
