--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -31,6 +31,7 @@
             self.counters.add('store_calls', increase, status=str(status))
         self.count_store_answers()
         self.count_signs()
+        self.count_spilled()
         for priority, count in self.core.forwarder.refused_for_load.items():
             increase = self.count_increase('refused', str(priority), count)
             self.counters.add(
@@ -57,6 +58,18 @@
             increase = self.count_increase('signs', direction, count)
             self.counters.add('signs', increase, direction=direction)
 
+    def count_spilled(self) -> None:
+        """Count new flows that left the own domain for lack of room."""
+        spillover = self.core.updater.placer.spillover
+        if spillover is None:
+            return
+        for (service, domain), count in spillover.placed.items():
+            label = f'{service} {domain}'
+            increase = self.count_increase('spilled', label, count)
+            self.counters.add(
+                'spilled', increase, service=service, domain=domain
+            )
+
     def count_increase(self, name: str, label: str, count: int) -> int:
         """Return the increase of a count since the last page."""
         before = self.last_counts.get((name, label), 0)
@@ -82,6 +95,9 @@
             ),
             'reads_for_domain': int(self.store_sync.is_reader),
         }
+        node_counter = updater.placer.cold.node_counter
+        if node_counter is not None:
+            found['nodes_counted'] = node_counter.counted
         lines = [
             f'# TYPE burdocksill_{name} gauge\nburdocksill_{name} {value}'
             for name, value in found.items()
@@ -91,6 +107,8 @@
     def service_gauges(self) -> list[str]:
         """Return the gauges of each service's load, one line each."""
         lines: list[str] = []
+        spillover = self.core.updater.placer.spillover
+        states = {} if spillover is None else spillover.services
         for name, limiter in self.core.updater.upstreams.limiters.items():
             found = {
                 'requests_waiting': limiter.waiting,
@@ -98,6 +116,10 @@
                 'waiting_limit_per_slot': round(limiter.limit, 3),
                 'usual_answer_seconds': round(limiter.baseline_seconds, 3),
             }
+            state = states.get(name)
+            if state is not None:
+                found['spillover_fraction'] = round(state.fraction, 3)
+                found['load_at_home'] = round(state.load, 3)
             lines.extend(
                 f'burdocksill_{gauge}{{service="{name}"}} {value}'
                 for gauge, value in found.items()
--- a/burdocksill/packets/spillover.py
+++ b/burdocksill/packets/spillover.py
@@ -23,8 +23,8 @@
     from burdocksill.packets.protocols import LoadView
 
 # Requests in progress for each slot to which the own domain is filled before
-# new flows leave it. Lower values keep more slots free, higher ones save traffic
-# between domains. The default of the settings.
+# new flows leave it. Lower values keep more slots free, higher ones save
+# traffic between domains. The default of the settings.
 DEFAULT_START: Final = 0.75
 # Above this load requests queue at home. More flows leave then, by this factor,
 # because those that are open stay.
