--- a/burdocksill/packets/spillover.py
+++ b/burdocksill/packets/spillover.py
@@ -52,7 +52,7 @@
 # Changes of the fraction are logged from this difference on, and at most this
 # often for each service.
 LOGGED_CHANGE: Final = 0.25
-LOG_SECONDS: Final = 1.0
+LOG_SECONDS: Final = 5.0
 LOG_DIGITS: Final = 3
 
 logger = EarlyLogger(__name__)
--- a/tests/packets/spillover.feature
+++ b/tests/packets/spillover.feature
@@ -36,6 +36,14 @@
     And 9 seconds pass
     Then at most 0.02 of the requests of "a" fail
 
+  Scenario: Operators see how many flows leave
+    Given three domains with 22 nodes each and spillover
+    And clients send one request on each flow
+    When "a" loses half of its upstreams while its clients double
+    And 6 seconds pass with lines kept
+    Then each node of "a" has 1 to 2 lines on spillover
+    And metrics count the flows of "a" that left
+
   Scenario Outline: A domain that can't serve takes no flows
     # Guards against flows that leave for a domain that fails meanwhile.
     Given three domains with 22 nodes each and spillover
--- a/tests/steps/packets_spillover.py
+++ b/tests/steps/packets_spillover.py
@@ -1,11 +1,16 @@
 """Steps in which a domain lacks room and others have it."""
 
 import json
+from collections import Counter
+from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
 from packets_balancing import LongFlows, build
 
+from burdocksill.packets import spillover
+from burdocksill.packets.metrics import MetricsPage
 from burdocksill.platform.records import UPSTREAMS
 from burdocksill_lab.packets.client import Outcome, Request
 from burdocksill_lab.packets.upstream import Condition, LabUpstream
@@ -152,6 +157,60 @@
     assert found <= share, found
 
 
+@when('{seconds:d} seconds pass with lines kept')
+def run_with_lines(context: Context, seconds: int) -> None:
+    """Run, and keep the lines on spillover."""
+    context.lines = []
+
+    def keep(message: str, *, extra: dict[str, object]) -> None:
+        context.lines.append((message, extra))
+
+    with mock.patch.object(spillover, 'logger', SimpleNamespace(info=keep)):
+        context.packets.run(seconds)
+
+
+@then('each node of "{domain}" has {least:d} to {most:d} lines on spillover')
+def check_lines(context: Context, domain: str, least: int, most: int) -> None:
+    """Count the lines of all nodes; no other domain has one."""
+    nodes = sum(one.domain == domain for one in context.packets.nodes)
+    assert least * nodes <= len(context.lines) <= most * nodes, context.lines
+    for message, fields in context.lines:
+        assert message == 'spillover changed', message
+        assert set(fields) == {'service', 'fraction', 'load', 'room'}, fields
+
+
+@then('metrics count the flows of "{domain}" that left')
+def check_metrics(context: Context, domain: str) -> None:
+    """Compare the metrics of all nodes with the flows of clients."""
+    world = context.packets
+    store_sync = SimpleNamespace(
+        calls=Counter(),
+        is_reader=False,
+        received_bytes=0,
+        truncated=0,
+        observations={},
+    )
+    pages = [
+        MetricsPage(core=node.core, store_sync=store_sync).render(
+            world.timeline.now
+        )
+        for node in world.nodes
+        if node.domain == domain
+    ]
+    counted = sum(
+        float(line.rpartition(' ')[2])
+        for page in pages
+        for line in page.splitlines()
+        if line.startswith('burdocksill_spilled_total{')
+    )
+    left = share_of(context, domain, 0, 60, {'b', 'c'}) * sum(
+        at >= context.since for at, _ in context.clients[domain].flows
+    )
+    assert left > 50, left
+    assert abs(counted - left) <= 0.1 * left, (counted, left)
+    assert 'burdocksill_spillover_fraction{service="ledger"}' in pages[0]
+
+
 def upstreams_in(context: Context, domain: str) -> list[LabUpstream]:
     """Return the upstreams of a domain."""
     known = context.packets.upstreams.values()
