Let operators set where spillover starts, and keep it when they choose features

PacketSettings.evolve passes each field to the constructor, which did not take spillover_start: a node with BURDOCKSILL_FEATURES set would not have started.

--- a/burdocksill/packets/reload.py
+++ b/burdocksill/packets/reload.py
@@ -25,6 +25,7 @@
     'peer',
     'cores',
     'features',
+    'spillover_start',
 )
 
 logger = logging.getLogger(__name__)
--- a/burdocksill/packets/settings.py
+++ b/burdocksill/packets/settings.py
@@ -46,6 +46,7 @@
         stop_seconds: float = DEFAULT_STOP_SECONDS,
         log_level: str = 'INFO',
         features: frozenset[Feature] = NO_FEATURES,
+        spillover_start: float = DEFAULT_START,
     ) -> None:
         """Store the arguments."""
         self.name = name
@@ -63,4 +64,4 @@
         self.features = features
         # Requests in progress for each slot of the own domain from which new
         # flows leave it. Higher values cause less traffic between domains.
-        self.spillover_start = DEFAULT_START
+        self.spillover_start = spillover_start
--- a/burdocksill/platform/node_file.py
+++ b/burdocksill/platform/node_file.py
@@ -8,6 +8,7 @@
 from burdocksill.network.addresses import Address
 from burdocksill.packets.features import ALL_FEATURES, NO_FEATURES, Feature
 from burdocksill.packets.settings import DEFAULT_STOP_SECONDS, PacketSettings
+from burdocksill.packets.spillover import DEFAULT_START
 from burdocksill.platform.early import PACKETS, PROBES, VARIABLE
 
 TYPE_CHECKING = False
@@ -67,6 +68,7 @@
         stop_seconds=read_stop(fields),
         log_level=fields.get('LogLevel', 'INFO'),
         features=read_features(fields),
+        spillover_start=read_number(fields, 'SpilloverStart', DEFAULT_START),
     )
 
 
--- a/tests/platform/node_file.feature
+++ b/tests/platform/node_file.feature
@@ -22,6 +22,13 @@
       | load-reports                   | load-reports                 |
       | fair-admission , load-reports  | fair-admission, load-reports |
 
+  Scenario: A chosen set of features keeps the other settings
+    Guards against a start that fails as soon as operators choose features.
+    When a node reads settings with the contracts "base"
+    And operators choose the features "spillover"
+    Then its features are "spillover"
+    And its name is "front-a-1"
+
   Scenario: A feature that does not exist is an error with its name
     Guards against a misspelt name that silently switches nothing off.
     When a node reads the features "load-reports,fair-admision"
--- a/tests/steps/platform_node_file.py
+++ b/tests/steps/platform_node_file.py
@@ -25,7 +25,8 @@
 def read_contracts(context: Context, contracts: str) -> None:
     """Read a settings file."""
     text = SETTINGS.format(contracts=contracts)
-    context.features = read_node_file(text).features
+    context.settings = read_node_file(text)
+    context.features = context.settings.features
 
 
 @when('a node reads settings with the contracts ""')
@@ -43,6 +44,19 @@
         context.error = error
 
 
+@when('operators choose the features "{text}"')
+def choose(context: Context, text: str) -> None:
+    """Replace the features of the settings."""
+    context.settings = context.settings.evolve(features=parse_features(text))
+    context.features = context.settings.features
+
+
+@then('its name is "{name}"')
+def check_name(context: Context, name: str) -> None:
+    """Compare the node's name."""
+    assert context.settings.name == name, context.settings
+
+
 @then('its features are "{names}"')
 def check_features(context: Context, names: str) -> None:
     """Compare the features."""
