--- a/burdocksill/packets/__main__.py
+++ b/burdocksill/packets/__main__.py
@@ -1,11 +1,16 @@
 """Run a node with python -m burdocksill.packets."""
 
+from __future__ import annotations
+
 import importlib
-from types import ModuleType
 
 from burdocksill.platform.early import EarlySockets, bind_early
 from burdocksill.platform.early_read import ProceedBetweenImports
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from types import ModuleType
+
 MAIN = 'burdocksill.packets.main'
 
 
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import time
 from collections import Counter
 from random import Random
@@ -22,6 +21,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    import _socket
     from typing import Final
 
 # Most packets that one wake-up handles, so that readiness probes and answers of
@@ -46,7 +46,7 @@
     def __init__(
         self,
         *,
-        datagrams: socket.socket,
+        datagrams: _socket.socket,
         forwarder: Forwarder,
         store_cache: StoreCache,
     ) -> None:
@@ -149,7 +149,7 @@
 def make_core(
     *,
     settings: PacketSettings,
-    datagrams: socket.socket,
+    datagrams: _socket.socket,
     decode: Decoder,
     rng: Random,
     clock: Clock = time.monotonic,
--- a/burdocksill/packets/program.py
+++ b/burdocksill/packets/program.py
@@ -1,5 +1,6 @@
 """Connect a node to the platform and its peers, and run it."""
 
+import _socket
 import socket
 import time
 from collections.abc import Callable
@@ -22,7 +23,7 @@
     core: PacketCore,
     rng: Random,
     read: Callable[[], PacketSettings],
-    probes: socket.socket,
+    probes: _socket.socket,
 ) -> None:
     """Run a node until SIGTERM; `read` reloads its settings."""
     if early_lines.writer is not None:
@@ -35,7 +36,7 @@
     core: PacketCore,
     rng: Random,
     read: Callable[[], PacketSettings],
-    probes: socket.socket,
+    probes: _socket.socket,
 ) -> None:
     """Create the tasks of a node and run them."""
     runtime = Runtime(
@@ -48,7 +49,14 @@
         core=core,
         store_sync=await make_store_sync(settings, core.store_cache, runtime),
         clock=time.monotonic,
-        probes=probes,
+        probes=as_standard_socket(probes),
     )
     reloader = Reloader(read=read, node=node)
     await node.run(reloader.run)
+
+
+def as_standard_socket(early: _socket.socket) -> socket.socket:
+    """Return a socket that trio accepts, in place of an early one."""
+    adopted = socket.socket(fileno=early.detach())
+    adopted.setblocking(False)
+    return adopted
--- a/burdocksill/platform/early.py
+++ b/burdocksill/platform/early.py
@@ -3,12 +3,14 @@
 A restarting process receives packets and probes all the time. What arrives
 before a socket is bound is lost, and its sender retransmits it much later than
 the imports take. SIGHUP terminates a process that does not handle it.
-So this module runs first and imports as little as possible.
+So this module runs first and imports as little as possible. The modules without
+an underscore that are built on `_socket` and `_signal` take longer to import
+than everything else before the sockets are bound.
 """
 
+import _signal  # type: ignore[import-not-found]
+import _socket
 import os
-import signal
-import socket
 
 from burdocksill.platform.early_read import FirstPageRequest
 
@@ -45,26 +47,26 @@
     return None
 
 
-def bind_packets(address: HostPort) -> socket.socket:
+def bind_packets(address: HostPort) -> _socket.socket:
     """Return a bound, non-blocking socket for packets."""
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound = _socket.socket(_socket.AF_INET, _socket.SOCK_DGRAM)
     bound.setblocking(False)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    bound.setsockopt(_socket.SOL_SOCKET, _socket.SO_RCVBUF, BUFFER_BYTES)
     return bind(bound, address)
 
 
-def bind_probes(address: HostPort) -> socket.socket:
+def bind_probes(address: HostPort) -> _socket.socket:
     """Return a listening socket; probes are queued until it is served."""
-    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
     bound.setblocking(False)
     # Connections of the previous process may still be in TIME_WAIT.
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setsockopt(_socket.SOL_SOCKET, _socket.SO_REUSEADDR, 1)
     bind(bound, address)
     bound.listen(PROBE_BACKLOG)
     return bound
 
 
-def bind(unbound: socket.socket, address: HostPort) -> socket.socket:
+def bind(unbound: _socket.socket, address: HostPort) -> _socket.socket:
     """Bind a socket; close it and raise OSError on failure."""
     try:
         unbound.bind(address)
@@ -80,8 +82,8 @@
     def __init__(
         self,
         *,
-        packets: socket.socket | None = None,
-        probes: socket.socket | None = None,
+        packets: _socket.socket | None = None,
+        probes: _socket.socket | None = None,
         first_page: FirstPageRequest | None = None,
     ) -> None:
         """Store the sockets."""
@@ -98,7 +100,7 @@
     anyway. An address that can't be read or bound is skipped: the program fails
     with the same error later, when it can log it.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
     text = read_text()
     packets = find_address(text, PACKETS)
     probes = find_address(text, PROBES)
--- a/burdocksill/platform/early_read.py
+++ b/burdocksill/platform/early_read.py
@@ -4,7 +4,7 @@
 imports. Both happen at once if the request is sent first.
 """
 
-import socket
+import _socket
 import sys
 import time
 
@@ -21,29 +21,36 @@
     again on the same socket.
     """
 
-    __slots__ = ('asked_at', 'received', 'remote', 'sock', 'unsent')
+    __slots__ = ('asked_at', 'failed', 'received', 'remote', 'sock', 'unsent')
 
     def __init__(self, *, remote: tuple[str, int]) -> None:
         """Start to connect without blocking."""
         self.remote = remote
         # On the clock of the store cache's age.
         self.asked_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self.failed = False
         self.received = b''
         self.unsent = first_request(remote)
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
         self.sock.setblocking(False)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        self.sock.setsockopt(
+            _socket.SOL_SOCKET, _socket.SO_RCVBUF, BUFFER_BYTES
+        )
         self.sock.connect_ex(remote)
 
     def proceed(self) -> None:
         """Send or receive what is possible without blocking."""
+        if self.failed:
+            return
         try:
             if self.unsent:
                 self.unsent = self.unsent[self.sock.send(self.unsent) :]
             else:
                 self.received += self.sock.recv(READ_BYTES)
-        except OSError:
+        except BlockingIOError:
             return
+        except OSError:
+            self.failed = True
 
 
 class ProceedBetweenImports:
--- a/tests/packets/start.feature
+++ b/tests/packets/start.feature
@@ -77,6 +77,14 @@
     Then both addresses are bound
     And SIGHUP no longer ends the process
     And none of "attr", "attrs", "json", "logging", "h11", "trio" was imported
+    And none of "socket", "signal", "enum", "collections", "runpy" was imported
+
+  Scenario: The command of the deploy file starts a node
+    Guards against a script that finds no modules or imports runpy again.
+    Given a settings file with Node= instead of its line
+    When a node is started by the command of the deploy file
+    Then it ends with 2 and says "burdocksill.E002"
+    And it imported neither runpy nor modules of its folder
 
   Scenario: A list with many pages is read at the first attempt
     # 300 nodes start at once, and each page of the list takes long over links
--- a/tests/steps/packets_start.py
+++ b/tests/steps/packets_start.py
@@ -1,6 +1,7 @@
 """Steps about the start, reload and stop of a node's process."""
 
 import os
+import re
 import resource
 import signal
 import socket
@@ -8,6 +9,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -213,6 +215,30 @@
     )
 
 
+@when('a node is started by the command of the deploy file')
+def start_as_deployed(context: Context) -> None:
+    """Run the command until it exits; list what it imports."""
+    deployed = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+    _, *arguments = deployed['roles']['entry']['run'].split()
+    context.ended = subprocess.run(
+        [sys.executable, '-v', *arguments],
+        cwd=ROOT,
+        env={**os.environ, VARIABLE: str(context.file)},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=20,
+    )
+
+
+@then('it imported neither runpy nor modules of its folder')
+def check_imports(context: Context) -> None:
+    """Look for them in the interpreter's list of imports."""
+    imported = re.findall(r"^import '?([\w.]+)", context.ended.stderr, re.M)
+    assert 'burdocksill.packets.main' in imported
+    assert not {'runpy', 'node', 'system'} & set(imported), imported
+
+
 @then('it ends with {code:d} and says "{text}"')
 def check_ended(context: Context, code: int, text: str) -> None:
     """Check the exit code and the error output."""
@@ -430,18 +456,19 @@
         'from burdocksill.platform.early import bind_early\n'
         'early = bind_early()\n'
         'print(early.packets.getsockname(), early.probes.getsockname())\n'
+        'print(*sys.modules)\n'
         'import signal\n'
         'print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)\n'
-        'print(*sys.modules)\n'
     )
     done = subprocess.run(
-        [sys.executable, '-c', code],
+        [sys.executable, '-S', '-c', code],
         env={**os.environ, VARIABLE: str(context.file)},
+        cwd=ROOT,
         capture_output=True,
         text=True,
         check=True,
     )
-    context.bound, ignored, modules = done.stdout.splitlines()
+    context.bound, modules, ignored = done.stdout.splitlines()
     context.ignores_hup = ignored == 'True'
     context.modules = set(modules.split())
 
