--- a/burdocksill/packets/__main__.py
+++ b/burdocksill/packets/__main__.py
@@ -14,9 +14,8 @@
 MAIN = 'burdocksill.packets.main'
 
 
-def run() -> None:
-    """Bind the sockets, then import and run the program."""
-    early = bind_early()
+def run(early: EarlySockets) -> None:
+    """Import and run the program on sockets that are bound."""
     import_main(early).main(early)
 
 
@@ -33,4 +32,4 @@
 
 
 if __name__ == '__main__':
-    run()
+    run(bind_early())
--- a/deploy/node.py
+++ b/deploy/node.py
@@ -9,6 +9,10 @@
 # The interpreter puts the folder of this script there.
 sys.path[0] = ''
 
+from burdocksill.platform.early import bind_early  # noqa: E402
+
+early = bind_early()
+
 from burdocksill.packets.__main__ import run  # noqa: E402
 
-run()
+run(early)
