Hold the load of upstreams that a domain's nodes see together

Cause: a node sees one flow in as many as its domain has nodes, and places and admits by these alone.

Change: LoadTable holds the last sums of the domain's reader with their age, and this node's own flows that they do not include yet. It lapses after 2 s, and takes no sum that can't be right by this node's own share. LocalLoad sums what this node sees: flows with a packet in the last 3 s, as a flow that routers moved would count twice otherwise, and short answers as errors. Both exist only with the feature load-reports; make_core creates them, nothing fills the table yet.

Ruled out: to ignore a reader for some seconds after an implausible sum. Each summary is checked by itself, and a node that just started would have gone without the shared load for these seconds.

--- a/burdocksill/packets/admission.py
+++ b/burdocksill/packets/admission.py
@@ -105,11 +105,15 @@
         """
         return not self.waiting or self.in_progress < self.limit_for(urgency)
 
+    def is_short(self, size: int) -> bool:
+        """Return True for an answer that is much shorter than usual."""
+        return size < self.usual_size * SHORT_FRACTION
+
     def record_answer(self, sample: AnswerSample, now: float) -> None:
         """Adjust the limit by the time that an answer took."""
         weight = RECENT_SMOOTHING if self.recent_seconds else 1
         self.recent_seconds += (sample.seconds - self.recent_seconds) * weight
-        is_short = sample.size < self.usual_size * SHORT_FRACTION
+        is_short = self.is_short(sample.size)
         self.usual_size += (sample.size - self.usual_size) * SIZE_SMOOTHING
         if is_short or not sample.objective_seconds:
             return
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -9,9 +9,12 @@
 
 from burdocksill.network.clock import Clock, boot_seconds
 from burdocksill.packets.decisions import PacketDecisions
+from burdocksill.packets.features import Feature
 from burdocksill.packets.flows import FlowTable
 from burdocksill.packets.forwarder import Forwarder
 from burdocksill.packets.header import LARGEST_PACKET
+from burdocksill.packets.load_table import LoadTable
+from burdocksill.packets.local_load import LocalLoad
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.settings import PacketSettings
@@ -159,11 +162,21 @@
     table = RoutingTable()
     upstreams = UpstreamRegistry()
     progress = SyncProgress(clock=age_clock)
+    flows = FlowTable(table=table)
+    load_table = None
+    if Feature.LOAD_REPORTS in settings.features:
+        flows.local_load = LocalLoad(flows)
+        load_table = LoadTable(
+            domain=settings.domain,
+            upstreams=upstreams,
+            local_load=flows.local_load,
+        )
     placer = PacketPlacer(
         domain=settings.domain,
         table=table,
         upstreams=upstreams,
         rng=rng,
+        load_view=load_table,
         features=settings.features,
     )
     return PacketCore(
@@ -175,7 +188,7 @@
             placer=placer,
             freshness=progress,
             log=PacketDecisions(),
-            flows=FlowTable(table=table),
+            flows=flows,
         ),
         store_cache=StoreCache(
             updater=StateUpdater(
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from typing import Final
 
+    from burdocksill.packets.local_load import LocalLoad
+
 # Less than the time after which a client retransmits. A copy that is read
 # sooner after the packet before it was duplicated by the network, or has waited
 # in the socket while this node was paused or starting.
@@ -78,7 +80,14 @@
 class FlowTable:
     """Hold the flows that were started last, in the order of their start."""
 
-    __slots__ = ('answer_times', 'flows', 'is_backlogged', 'limit', 'table')
+    __slots__ = (
+        'answer_times',
+        'flows',
+        'is_backlogged',
+        'limit',
+        'local_load',
+        'table',
+    )
 
     def __init__(
         self,
@@ -92,6 +101,8 @@
         # True while packets wait long in the socket, so that retransmissions
         # prove nothing about an upstream.
         self.is_backlogged = False
+        # Set where nodes report their load to each other.
+        self.local_load: LocalLoad | None = None
         # Holds the objectives of the routes.
         self.table: RoutingTable = RoutingTable() if table is None else table
         # Service and seconds of answers that the metrics have not read yet.
@@ -216,11 +227,14 @@
     ) -> None:
         """Record the time of an answer that is acknowledged now."""
         seconds = now - flow.unanswered_since
+        size = sequence_distance(packet.ack, flow.ack)
+        if self.local_load is not None:
+            self.local_load.record_answer(flow.upstream, seconds, size, now)
         flow.upstream.limiter.record_answer(
             AnswerSample(
                 seconds=seconds,
                 in_progress=flow.in_progress,
-                size=sequence_distance(packet.ack, flow.ack),
+                size=size,
                 objective_seconds=flow.objective_seconds,
             ),
             now,
