Exchange the load of upstreams through the domains' readers

Cause: nothing told a node what the others of its domain see.

Change: each 0.5 s a node reports flows, requests in progress, answer times and errors of its domain's upstreams to the domain's reader (kind 9), which sends the sums to all its nodes, and sums of services and its number of nodes to the other domains' readers, who relay them (kind 10). Earlier builds ignore both kinds. Reports lapse after 1.6 s; datagrams that were delayed do not count, by the fastest of their sender; a report counts up to three times the mean of the nodes and three more; a new reader, and one that few of its nodes reach, tells nothing.

The test of corrupt datagrams knows the two new messages and checks their bounds.

--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -4,6 +4,7 @@
 
 from burdocksill.observe.counters import Counters
 from burdocksill.packets.core import PacketCore
+from burdocksill.packets.load_table import LoadTable
 from burdocksill.packets.sync import StoreSync
 from burdocksill.platform.revisions import era_of, number_of
 
@@ -52,10 +53,13 @@
         self.counters.add('store_answers_cut_short', increase)
 
     def count_signs(self) -> None:
-        """Count the observations of upstreams exchanged with peers."""
+        """Count observations and loads of upstreams exchanged with peers."""
         for direction, count in self.store_sync.observations.items():
             increase = self.count_increase('signs', direction, count)
             self.counters.add('signs', increase, direction=direction)
+        for direction, count in self.store_sync.load_rows.items():
+            increase = self.count_increase('load_rows', direction, count)
+            self.counters.add('load_rows', increase, direction=direction)
 
     def count_increase(self, name: str, label: str, count: int) -> int:
         """Return the increase of a count since the last page."""
@@ -81,6 +85,7 @@
                 1 for _ in updater.placer.outages.suspected_domains(now)
             ),
             'reads_for_domain': int(self.store_sync.is_reader),
+            **self.load_gauges(now),
         }
         lines = [
             f'# TYPE burdocksill_{name} gauge\nburdocksill_{name} {value}'
@@ -88,6 +93,16 @@
         ]
         return '\n'.join((*lines, *self.service_gauges())) + '\n'
 
+    def load_gauges(self, now: float) -> dict[str, float]:
+        """Return the gauges of the shared load while it is known."""
+        view = self.core.updater.placer.load_view
+        if not isinstance(view, LoadTable) or not view.is_current(now):
+            return {}
+        return {
+            'shared_load_age_seconds': round(view.age(now), 3),
+            'shared_load_nodes': view.node_count(now) or 0,
+        }
+
     def service_gauges(self) -> list[str]:
         """Return the gauges of each service's load, one line each."""
         lines: list[str] = []
--- a/burdocksill/packets/sync.py
+++ b/burdocksill/packets/sync.py
@@ -11,6 +11,8 @@
 from burdocksill.network.clock import Clock
 from burdocksill.network.http import HttpConnection
 from burdocksill.network.protocols import Network
+from burdocksill.packets.load_table import LoadTable
+from burdocksill.packets.protocols import LoadView
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.packets.store_cache import StoreCache
 from burdocksill.packets.store_probe import StoreProbe
@@ -26,6 +28,7 @@
     PeerExchange,
     SharedReadGate,
 )
+from burdocksill.readers.load_reports import LoadExchange
 from burdocksill.readers.messages import Reader
 from burdocksill.readers.observations import ObservationExchange
 from burdocksill.readers.publisher import Publisher
@@ -92,6 +95,14 @@
         observations = self.sharing.exchange.observations
         return {'sent': observations.sent, 'received': observations.received}
 
+    @property
+    def load_rows(self) -> dict[str, int]:
+        """Return the number of load rows sent to peers and received."""
+        if self.sharing is None or self.sharing.exchange.loads is None:
+            return {}
+        loads = self.sharing.exchange.loads
+        return {'sent': loads.sent, 'received': loads.received}
+
     async def run(self) -> None:
         """Watch the store and exchange updates with peers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -100,6 +111,8 @@
                 nursery.start_soon(self.sharing.exchange.receive)
                 nursery.start_soon(self.sharing.exchange.request_updates)
                 nursery.start_soon(self.sharing.exchange.publish_observations)
+                if self.sharing.exchange.loads is not None:
+                    nursery.start_soon(self.sharing.exchange.loads.run)
                 nursery.start_soon(self.sharing.election_task.run)
                 nursery.start_soon(self.sharing.probe.run)
 
@@ -210,6 +223,9 @@
             send=socket.send,
         ),
     )
+    exchange.loads = make_load_exchange(
+        exchange, directory.placer.load_view, settings, runtime
+    )
     directory.placer.outages.on_observation = exchange.schedule_observations
     exchange.read_gate.on_answer = exchange.notify_reader
     probe = StoreProbe(
@@ -233,3 +249,26 @@
         platform=platform,
         probe=probe,
     )
+
+
+def make_load_exchange(
+    exchange: PeerExchange,
+    load_view: LoadView,
+    settings: PacketSettings,
+    runtime: Runtime,
+) -> LoadExchange | None:
+    """Return the exchange of loads; None where nodes do not report them."""
+    observations = exchange.observations
+    if not isinstance(load_view, LoadTable):
+        return None
+    return LoadExchange(
+        local_address=observations.local_node.address,
+        domain=settings.domain,
+        role=observations,
+        directory=observations.directory,
+        sink=load_view,
+        publisher=exchange.publisher,
+        clock=runtime.clock,
+        rng=Random(runtime.rng.random()),
+        send=exchange.socket.send,
+    )
--- a/burdocksill/readers/datagrams.py
+++ b/burdocksill/readers/datagrams.py
@@ -3,6 +3,7 @@
 import attrs
 
 from burdocksill.platform.values import StoredValue
+from burdocksill.readers.load_messages import LoadReport, LoadSummary
 from burdocksill.readers.messages import Observation
 
 
@@ -50,4 +51,6 @@
     observations: tuple[Observation, ...]
 
 
-Message = UpdateRequest | Update | Offer | Observations
+Message = (
+    UpdateRequest | Update | Offer | Observations | LoadReport | LoadSummary
+)
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -24,6 +24,8 @@
     RENEW_INTERVAL_SECONDS,
     ReaderElection,
 )
+from burdocksill.readers.load_messages import LoadReport, LoadSummary
+from burdocksill.readers.load_reports import LoadExchange
 from burdocksill.readers.messages import ReaderEntry
 from burdocksill.readers.observations import BATCH_SECONDS, ObservationExchange
 from burdocksill.readers.protocols import LeaseStore
@@ -83,6 +85,8 @@
     publisher: Publisher
     read_gate: SharedReadGate
     observations: ObservationExchange
+    # None where nodes do not report their load.
+    loads: LoadExchange | None = None
     # Set while there are observations of upstreams to send.
     observations_ready: trio.Event = attrs.field(factory=trio.Event)
     state_logger: StateLogger = attrs.field(
@@ -119,6 +123,9 @@
                 )
                 if self.observations.pending:
                     self.observations_ready.set()
+            case LoadReport() | LoadSummary():
+                if self.loads is not None:
+                    self.loads.handle(message, sender)
 
     def handle_offer(self, offer: Offer, sender: Address) -> None:
         """Request updates from a follower if its data is newer."""
--- a/burdocksill/readers/protocols.py
+++ b/burdocksill/readers/protocols.py
@@ -5,7 +5,8 @@
 from burdocksill.network.addresses import Address
 from burdocksill.platform.protocols import SwapResult
 from burdocksill.platform.values import Snapshot, StoredValue
-from burdocksill.readers.messages import Observation, ReaderEntry
+from burdocksill.readers.load_messages import LoadSummary, UpstreamLoad
+from burdocksill.readers.messages import Observation, Reader, ReaderEntry
 
 
 class StoreCache(Protocol):
@@ -53,6 +54,37 @@
         """Merge a remote observation; return False if it is not new."""
 
 
+class DomainRole(Protocol):
+    """Tell which node reads the store for the own failure domain."""
+
+    @property
+    def reader(self) -> Reader | None:
+        """Return the reader of the own failure domain."""
+
+    @property
+    def is_reader(self) -> bool:
+        """Return True when this node is its domain's reader."""
+
+
+class LoadSink(Protocol):
+    """Tell the load that this node sees, and hold the shared load."""
+
+    def collect(self, now: float) -> tuple[list[UpstreamLoad], dict[int, int]]:
+        """Return loads of the own domain's upstreams, and sums of services."""
+
+    def group_slots(self) -> dict[int, tuple[str, int]]:
+        """Return domain and slots of each service in each domain."""
+
+    def record_reported(self, now: float) -> None:
+        """Record that the reader was told what `collect` returned."""
+
+    def apply(self, summary: LoadSummary, delay: float, now: float) -> bool:
+        """Apply a summary of the reader; return False if it does not count."""
+
+    def log_change(self, now: float) -> None:
+        """Log whether the shared load has become known or unknown."""
+
+
 class LeaseStore(Protocol):
     """Write keys that are removed when the lease of their writer ends."""
 
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -15,6 +15,7 @@
     Update,
     UpdateRequest,
 )
+from burdocksill.readers.load_wire import decode_load
 from burdocksill.readers.messages import Observation
 
 # 1, 2, 4 and 5 are reserved: older nodes use them for messages whose revisions
@@ -82,7 +83,7 @@
         return decode_observations(payload[1:], now)
     if kind == OFFER_KIND and len(payload) == OFFER.size:
         return decode_offer(payload)
-    return None
+    return decode_load(payload)
 
 
 def encode_offer(offer: Offer) -> bytes:
--- a/burdocksill_lab/packets/fleet.py
+++ b/burdocksill_lab/packets/fleet.py
@@ -14,6 +14,7 @@
 
 from burdocksill.network.addresses import Address
 from burdocksill.packets.core import PacketCore, make_core
+from burdocksill.packets.features import NO_FEATURES, Feature
 from burdocksill.packets.node import EXPIRY_INTERVAL_SECONDS
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.packets.sync import Runtime, StoreSync, make_store_sync
@@ -88,6 +89,7 @@
     rng: Random = attrs.field(init=False)
     version: int = 0
     hosts: int = 0
+    features: frozenset[Feature] = NO_FEATURES
     peer_bytes: int = 0
     # Highest staleness in seconds of any node that has read the store.
     oldest: float = 0
@@ -136,6 +138,7 @@
             platform=STORE,
             peer=Address(host, PEER_PORT),
             cores=cores,
+            features=self.features,
         )
         core = make_core(
             settings=settings,
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -25,6 +25,17 @@
     UpdateRequest,
 )
 from burdocksill.readers.election import ReaderElection
+from burdocksill.readers.load_messages import (
+    LoadReport,
+    LoadSummary,
+    UpstreamLoad,
+)
+from burdocksill.readers.load_wire import (
+    MAX_GROUPS,
+    MAX_ROWS,
+    encode_report,
+    encode_summary,
+)
 from burdocksill.readers.messages import Observation, Reader, ReaderEntry
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import (
@@ -70,6 +81,22 @@
             Observation(echo=0, answered=False, at=0.0, reporter=1),
         ),
     )
+    row = UpstreamLoad(
+        echo=2**32 - 1,
+        flows=16,
+        in_progress=0,
+        answer_seconds=0.016,
+        errors_per_second=1.5,
+    )
+    report = LoadReport(
+        sent_at=0.5, rounds=6, groups={2**32 - 1: 2**16 - 1}, rows=(row,)
+    )
+    summary = LoadSummary(
+        sent_at=4e6, age_seconds=0.5, groups={1: 0}, rows=(row, row)
+    )
+    domain_sums = LoadSummary(
+        sent_at=0.0, age_seconds=0.0, groups={}, for_readers=True
+    )
     far = Update(
         token=1,
         after=5,
@@ -84,6 +111,9 @@
         (empty, decode(encode_update(empty, encode_changes(())))),
         (far, decode(encode_update(far, None))),
         (offer, decode(encode_offer(offer))),
+        (report, decode(encode_report(report))),
+        (summary, decode(encode_summary(summary))),
+        (domain_sums, decode(encode_summary(domain_sums))),
         (
             observations,
             decode(encode_observations(observations.observations, 0.0), 0.0),
@@ -130,6 +160,10 @@
             )
         elif isinstance(message, Offer):
             assert message.age >= 0
+        elif isinstance(message, LoadReport | LoadSummary):
+            assert message.rounds > 0
+            assert len(message.rows) <= MAX_ROWS
+            assert len(message.groups) <= MAX_GROUPS
         else:
             assert message is None or isinstance(message, UpdateRequest)
 
