Count a placed flow as a flow only, until reports show its requests

Cause: requests in progress and spare slots counted each flow placed since the last report as a request that lasts until the next one. Change: placed flows count in the flows of an upstream alone, by which the placement levels.

--- a/burdocksill/packets/load_table.py
+++ b/burdocksill/packets/load_table.py
@@ -60,23 +60,21 @@
 class PlacedFlows:
     """Count this node's new flows that no summary includes yet."""
 
-    __slots__ = ('by_echo', 'by_group', 'recent', 'reports')
+    __slots__ = ('by_echo', 'recent', 'reports')
 
     def __init__(self) -> None:
         """Start without flows and reports."""
-        self.recent: deque[tuple[float, int, int]] = deque()
+        self.recent: deque[tuple[float, int]] = deque()
         self.by_echo: dict[int, int] = {}
-        self.by_group: dict[int, int] = {}
         # Times of reports that no summary includes yet.
         self.reports: deque[float] = deque(maxlen=16)
 
-    def add(self, echo: int, group: int, now: float) -> None:
+    def add(self, echo: int, now: float) -> None:
         """Count a new flow."""
         if len(self.recent) >= MAX_PLACED:
             self.remove_oldest()
-        self.recent.append((now, echo, group))
+        self.recent.append((now, echo))
         self.by_echo[echo] = self.by_echo.get(echo, 0) + 1
-        self.by_group[group] = self.by_group.get(group, 0) + 1
 
     def remove_reported(self, summary_at: float) -> None:
         """Remove the flows whose report a summary includes."""
@@ -92,11 +90,10 @@
 
     def remove_oldest(self) -> None:
         """Remove the oldest flow."""
-        _, echo, group = self.recent.popleft()
-        for counts, number in ((self.by_echo, echo), (self.by_group, group)):
-            counts[number] -= 1
-            if not counts[number]:
-                del counts[number]
+        _, echo = self.recent.popleft()
+        self.by_echo[echo] -= 1
+        if not self.by_echo[echo]:
+            del self.by_echo[echo]
 
 
 class LoadTable:
@@ -184,7 +181,8 @@
         placed = self.placed.by_echo.get(upstream.echo, 0)
         return SharedLoad(
             flows=told.row.flows + placed,
-            in_progress=told.row.in_progress + placed,
+            # A flow is not a request: short ones end before the next report.
+            in_progress=told.row.in_progress,
             answer_seconds=told.row.answer_seconds,
             errors_per_second=told.row.errors_per_second,
             age_seconds=now - told.reported_at,
@@ -201,9 +199,7 @@
         if not self.is_current(now) or not self.nodes_of(domain):
             return None
         group = group_number(service, domain)
-        in_progress = self.groups.get(group, 0)
-        placed = self.placed.by_group.get(group, 0)
-        return self.slots(service, domain) - in_progress - placed
+        return self.slots(service, domain) - self.groups.get(group, 0)
 
     def slots(self, service: str, domain: str) -> int:
         """Return the slots of the upstreams that accept new flows."""
@@ -225,9 +221,7 @@
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Count a new flow until a summary includes it."""
         self.placed.remove_until(now - MAX_AGE_SECONDS)
-        record = upstream.record
-        group = group_number(record.service, record.domain)
-        self.placed.add(upstream.echo, group, now)
+        self.placed.add(upstream.echo, now)
 
     def record_reported(self, now: float) -> None:
         """Record that this node told its reader its load."""
--- a/tests/steps/packets_spillover.py
+++ b/tests/steps/packets_spillover.py
@@ -189,6 +189,7 @@
         received_bytes=0,
         truncated=0,
         observations={},
+        load_rows={},
     )
     pages = [
         MetricsPage(core=node.core, store_sync=store_sync).render(
