--- a/burdocksill/packets/admission.py
+++ b/burdocksill/packets/admission.py
@@ -37,12 +37,19 @@
 # Each step of urgency above the least urgent priority raises the limit by this
 # fraction.
 URGENCY_FRACTION: Final = 0.75
+NO_ENDPOINT: Final = (0, 0)
 
 
 class AnswerSample:
     """Hold what a client's packets show about one answer."""
 
-    __slots__ = ('in_progress', 'objective_seconds', 'seconds', 'size')
+    __slots__ = (
+        'endpoint',
+        'in_progress',
+        'objective_seconds',
+        'seconds',
+        'size',
+    )
 
     def __init__(
         self,
@@ -51,6 +58,7 @@
         size: int,
         in_progress: float,
         objective_seconds: float,
+        endpoint: tuple[int, int] = NO_ENDPOINT,
     ) -> None:
         """Take the seconds, the bytes, the load and the client's objective."""
         self.seconds = seconds
@@ -58,6 +66,8 @@
         # Requests in progress for each slot of the service, when it was sent.
         self.in_progress = in_progress
         self.objective_seconds = objective_seconds
+        # Address and port of the route.
+        self.endpoint = endpoint
 
 
 class ConcurrencyLimiter:
@@ -93,6 +103,14 @@
         """Return the requests in progress for each slot."""
         return self.waiting / self.slots if self.slots else 0
 
+    def begin(self, endpoint: tuple[int, int], now: float) -> None:
+        """Count one more request in progress."""
+        self.waiting += 1
+
+    def end(self, endpoint: tuple[int, int]) -> None:
+        """Count one request in progress less."""
+        self.waiting -= 1
+
     def limit_for(self, urgency: int) -> float:
         """Return the limit for an urgency, in requests for each slot."""
         return self.limit * (1 + URGENCY_FRACTION * urgency)
@@ -134,12 +152,13 @@
         if self.baseline_seconds == 0:
             self.baseline_seconds = seconds
             return
-        if seconds < self.baseline_seconds:
-            self.baseline_seconds += (
-                seconds - self.baseline_seconds
-            ) * BASELINE_SMOOTHING
-            return
-        highest = self.baseline_seconds * (
-            1 + BASELINE_GROWTH_PER_SECOND * elapsed
+        self.baseline_seconds = next_baseline(
+            self.baseline_seconds, seconds, elapsed
         )
-        self.baseline_seconds = min(seconds, highest)
+
+
+def next_baseline(baseline: float, seconds: float, elapsed: float) -> float:
+    """Return the answer time without queueing after one more answer."""
+    if seconds < baseline:
+        return baseline + (seconds - baseline) * BASELINE_SMOOTHING
+    return min(seconds, baseline * (1 + BASELINE_GROWTH_PER_SECOND * elapsed))
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -8,7 +8,10 @@
 from random import Random
 
 from burdocksill.network.clock import Clock, boot_seconds
+from burdocksill.packets.admission import ConcurrencyLimiter
 from burdocksill.packets.decisions import PacketDecisions
+from burdocksill.packets.fair_share import FairShareLimiter
+from burdocksill.packets.features import Feature
 from burdocksill.packets.flows import FlowTable
 from burdocksill.packets.forwarder import Forwarder
 from burdocksill.packets.header import LARGEST_PACKET
@@ -157,7 +160,10 @@
 ) -> PacketCore:
     """Create the packet path of a node on a bound socket."""
     table = RoutingTable()
-    upstreams = UpstreamRegistry()
+    is_fair = Feature.FAIR_ADMISSION in settings.features
+    upstreams = UpstreamRegistry(
+        FairShareLimiter if is_fair else ConcurrencyLimiter
+    )
     progress = SyncProgress(clock=age_clock)
     placer = PacketPlacer(
         domain=settings.domain,
--- /dev/null
+++ b/burdocksill/packets/fair_share.py
@@ -0,0 +1,310 @@
+"""Weighted fair share: divide the room of an overloaded service by route.
+
+Only openings can be refused, and each brings the requests of its flow with it.
+So a route's use is what its open flows are expected to have in progress, not
+only what they have at the moment.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from math import exp
+
+from burdocksill.packets.admission import (
+    DECREASE_EXPONENT,
+    MAX_LIMIT,
+    OBJECTIVE_FRACTION,
+    QUEUED_FACTOR,
+    RECENT_SMOOTHING,
+    SIZE_SMOOTHING,
+    AnswerSample,
+    ConcurrencyLimiter,
+    next_baseline,
+)
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Final
+
+    from burdocksill.packets.messages import Route
+
+# Address and port of a route.
+Endpoint = tuple[int, int]
+
+# Time constant of the rates below. A share that was lent is taken back within
+# twice this time: by then the demand of its owner is known.
+RATE_SECONDS: Final = 0.25
+# Fraction of the room that is divided evenly between all routes with demand
+# before their priorities count, so that no route is starved.
+LEAST_FRACTION: Final = 0.1
+# An answer in time raises the limit by this fraction. With the step of a late
+# one the limit rests where few answers are late.
+INCREASE_FRACTION: Final = 0.004
+# An upstream without room refuses with an answer below this fraction of the
+# route's usual size, in less than this fraction of its unqueued answer time.
+REFUSAL_SIZE_FRACTION: Final = 0.5
+REFUSAL_TIME_FRACTION: Final = 0.5
+# Other errors are short and quick too. They count as refusals only while full
+# answers of the route take this many times as long as unqueued ones.
+REFUSAL_QUEUED_FACTOR: Final = 3.0
+# A refusal shows that at most this fraction of the requests fits.
+REFUSAL_FITTING_FRACTION: Final = 0.5
+# Routes whose demand, in requests in progress, is below this are forgotten.
+NEGLIGIBLE_DEMAND: Final = 0.001
+# Urgency of a flow that its route's share admits: no limit is below it.
+ADMITTED_URGENCY: Final = 1_000_000
+
+
+class DecayingRate:
+    """Count events per second with exponential decay."""
+
+    __slots__ = ('per_second', 'updated_at')
+
+    def __init__(self) -> None:
+        """Start without events."""
+        self.per_second: float = 0
+        self.updated_at: float = 0
+
+    def at(self, now: float) -> float:
+        """Return the events per second."""
+        elapsed = max(0, now - self.updated_at)
+        return self.per_second * exp(-elapsed / RATE_SECONDS)
+
+    def count(self, now: float) -> None:
+        """Count one event."""
+        self.per_second = self.at(now) + 1 / RATE_SECONDS
+        self.updated_at = now
+
+
+class RouteLoad:
+    """Hold the requests of one route on one service, as this node sees them."""
+
+    __slots__ = (
+        'answer_seconds',
+        'answered_at',
+        'in_progress',
+        'priority',
+        'refused',
+        'requests',
+        'unqueued_seconds',
+        'usual_size',
+    )
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        # 0 is the most urgent.
+        self.priority = 0
+        self.in_progress = 0
+        # Requests that were sent, and openings that were refused.
+        self.requests: DecayingRate = DecayingRate()
+        self.refused: DecayingRate = DecayingRate()
+        # Moving averages of full answers; 0 while unknown.
+        self.answer_seconds: float = 0
+        self.unqueued_seconds: float = 0
+        self.usual_size: float = 0
+        self.answered_at: float = 0
+
+    def use(self, now: float) -> float:
+        """Return the requests that its open flows have in progress."""
+        return max(
+            self.in_progress, self.requests.at(now) * self.answer_seconds
+        )
+
+    def demand(self, now: float) -> float:
+        """Return the requests that all its callers would have in progress."""
+        return self.use(now) + self.refused.at(now) * self.answer_seconds
+
+    def is_refusal(self, sample: AnswerSample) -> bool:
+        """Return True for an answer of an upstream that lacked room."""
+        return (
+            sample.size < self.usual_size * REFUSAL_SIZE_FRACTION
+            and sample.seconds < self.unqueued_seconds * REFUSAL_TIME_FRACTION
+            and self.answer_seconds
+            > self.unqueued_seconds * REFUSAL_QUEUED_FACTOR
+        )
+
+    def record_full(self, sample: AnswerSample, now: float) -> None:
+        """Update the averages by an answer that is no refusal."""
+        if not self.answer_seconds:
+            self.answer_seconds = sample.seconds
+            self.unqueued_seconds = sample.seconds
+            self.usual_size = sample.size
+        self.usual_size += (sample.size - self.usual_size) * SIZE_SMOOTHING
+        change = sample.seconds - self.answer_seconds
+        self.answer_seconds += change * RECENT_SMOOTHING
+        self.unqueued_seconds = next_baseline(
+            self.unqueued_seconds, sample.seconds, now - self.answered_at
+        )
+        self.answered_at = now
+
+
+class ShareState:
+    """Hold the share of a route and what decided it."""
+
+    __slots__ = ('borrowers', 'demand', 'share', 'use')
+
+    def __init__(
+        self,
+        *,
+        share: float,
+        demand: float,
+        use: float,
+        borrowers: tuple[Endpoint, ...],
+    ) -> None:
+        """Store the arguments, in requests in progress."""
+        self.share = share
+        self.demand = demand
+        self.use = use
+        # Routes whose open flows use more than their own shares.
+        self.borrowers = borrowers
+
+
+class FairShareLimiter(ConcurrencyLimiter):
+    """Limit the requests on a service, and divide the limit by route."""
+
+    __slots__ = ('routes',)
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        super().__init__()
+        self.routes: dict[Endpoint, RouteLoad] = {}
+
+    def begin(self, endpoint: Endpoint, now: float) -> None:
+        """Count one more request in progress."""
+        super().begin(endpoint, now)
+        load = self.load_of(endpoint)
+        load.in_progress += 1
+        load.requests.count(now)
+
+    def end(self, endpoint: Endpoint) -> None:
+        """Count one request in progress less."""
+        super().end(endpoint)
+        self.load_of(endpoint).in_progress -= 1
+
+    def load_of(self, endpoint: Endpoint) -> RouteLoad:
+        """Return the load of a route."""
+        return self.routes.setdefault(endpoint, RouteLoad())
+
+    def has_room(self, route: Route, now: float) -> bool:
+        """Return True when one more flow of a route would be served in time.
+
+        Always True while this node has no request in progress. Without answers
+        the limit would never change again.
+        """
+        if not self.waiting:
+            return True
+        self.load_of((route.address, route.port)).priority = route.priority
+        state = self.state_of(route, now)
+        return state.use < state.share
+
+    def record_refused(self, route: Route, now: float) -> None:
+        """Count a refused opening as demand of its route."""
+        self.load_of((route.address, route.port)).refused.count(now)
+
+    def state_of(self, route: Route, now: float) -> ShareState:
+        """Return the share of a route at the current demands."""
+        own = (route.address, route.port)
+        demands = {
+            endpoint: load.demand(now) for endpoint, load in self.routes.items()
+        }
+        wanting = [
+            endpoint
+            for endpoint, demand in demands.items()
+            if demand > NEGLIGIBLE_DEMAND or endpoint == own
+        ]
+        # One more request of the route that asks.
+        demands[own] += 1
+        shares = dict(
+            zip(
+                wanting,
+                divide(
+                    self.limit * self.slots,
+                    [
+                        (self.routes[one].priority, demands[one])
+                        for one in wanting
+                    ],
+                ),
+                strict=True,
+            )
+        )
+        return ShareState(
+            share=shares[own],
+            demand=demands[own],
+            use=self.routes[own].use(now),
+            borrowers=tuple(
+                one
+                for one in wanting
+                if one != own and self.routes[one].use(now) > shares[one]
+            ),
+        )
+
+    def record_answer(self, sample: AnswerSample, now: float) -> None:
+        """Adjust the limit by the time that an answer took."""
+        load = self.load_of(sample.endpoint)
+        if load.is_refusal(sample):
+            self.lower(sample.in_progress * REFUSAL_FITTING_FRACTION)
+            return
+        load.record_full(sample, now)
+        self.update_baseline(sample.seconds, now)
+        if not sample.objective_seconds:
+            return
+        longest = max(
+            sample.objective_seconds * OBJECTIVE_FRACTION,
+            load.unqueued_seconds * QUEUED_FACTOR,
+        )
+        if sample.seconds <= longest:
+            self.limit = min(MAX_LIMIT, self.limit * (1 + INCREASE_FRACTION))
+        else:
+            self.lower(sample.in_progress * longest / sample.seconds)
+
+    def lower(self, fitting_limit: float) -> None:
+        """Move the limit towards a lower one that would have fitted."""
+        self.limit *= min(1, fitting_limit / self.limit) ** DECREASE_EXPONENT
+
+
+def divide(room: float, wants: list[tuple[int, float]]) -> list[float]:
+    """Divide room over priorities and demands; return the shares.
+
+    Each gets a least share, then the most urgent priority gets what it wants,
+    evenly where that is too much, then the next. Room that nobody wants is
+    divided evenly over all.
+    """
+    least = room * LEAST_FRACTION / max(1, len(wants))
+    shares = [min(demand, least) for _, demand in wants]
+    left = room - sum(shares)
+    for priority in sorted({one for one, _ in wants}):
+        members = [
+            number for number, want in enumerate(wants) if want[0] == priority
+        ]
+        members.sort(key=lambda number: wants[number][1])
+        for position, number in enumerate(members):
+            missing = wants[number][1] - shares[number]
+            given = min(missing, left / (len(members) - position))
+            shares[number] += given
+            left -= given
+    return [share + left / len(wants) for share in shares]
+
+
+def lacking_room(
+    limiters: Mapping[str, ConcurrencyLimiter],
+    services: list[str],
+    route: Route,
+    now: float,
+) -> set[str]:
+    """Return the services without room for one more flow of a route.
+
+    If none has room, the refusal counts as demand on the first service.
+    """
+    fair = {
+        name: limiters[name]
+        for name in services
+        if isinstance(limiters.get(name), FairShareLimiter)
+    }
+    lacking = {
+        name
+        for name, limiter in fair.items()
+        if not limiter.has_room(route, now)
+    }
+    if services and len(lacking) == len(services):
+        fair[services[0]].record_refused(route, now)
+    return lacking
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Iterator
 
-from burdocksill.packets.admission import AnswerSample
+from burdocksill.packets.admission import NO_ENDPOINT, AnswerSample
 from burdocksill.packets.header import (
     FIN,
     RST,
@@ -42,6 +42,7 @@
 
     __slots__ = (
         'ack',
+        'endpoint',
         'in_progress',
         'last_seen_at',
         'objective_seconds',
@@ -58,8 +59,11 @@
         upstream: KnownUpstream,
         last_seen_at: float,
         objective_seconds: float = 0,
+        endpoint: tuple[int, int] = NO_ENDPOINT,
     ) -> None:
         """Store the arguments and start without unanswered data."""
+        # Address and port of the route.
+        self.endpoint = endpoint
         self.upstream = upstream
         self.last_seen_at = last_seen_at
         self.ack: int = 0
@@ -117,6 +121,7 @@
             upstream=upstream,
             last_seen_at=now,
             objective_seconds=self.objective_of(key),
+            endpoint=(key[2], key[3]),
         )
         self.flows[key] = flow
         upstream.flows += 1
@@ -222,6 +227,7 @@
                 in_progress=flow.in_progress,
                 size=sequence_distance(packet.ack, flow.ack),
                 objective_seconds=flow.objective_seconds,
+                endpoint=flow.endpoint,
             ),
             now,
         )
@@ -233,7 +239,7 @@
         """Stop counting a flow as waiting for an answer."""
         if flow.unanswered_since:
             flow.unanswered_since = 0
-            flow.upstream.end_request()
+            flow.upstream.end_request(flow.endpoint)
 
     def handle_data(
         self,
@@ -253,7 +259,7 @@
             flow.retransmitted = False
             if not flow.unanswered_since:
                 flow.unanswered_since = now
-                flow.upstream.begin_request()
+                flow.upstream.begin_request(flow.endpoint, now)
                 flow.in_progress = flow.upstream.limiter.in_progress
         elif flow.unanswered_since:
             flow.retransmitted = True
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -6,6 +6,7 @@
 from itertools import islice
 from random import Random
 
+from burdocksill.packets.fair_share import ADMITTED_URGENCY, lacking_room
 from burdocksill.packets.features import NO_FEATURES, Feature
 from burdocksill.packets.isolation import IsolationDetector
 from burdocksill.packets.messages import Route, WeightedService
@@ -154,7 +155,17 @@
         """Return an upstream for a new flow, or why there is none."""
         urgency = self.table.least_urgent - route.priority
         reason = Reason.NO_UPSTREAM
-        for weighted in self.in_weighted_order(route.weighted_services):
+        ordered = self.in_weighted_order(route.weighted_services)
+        if Feature.FAIR_ADMISSION in self.features:
+            services = [weighted.service for weighted in ordered]
+            lacking = lacking_room(
+                self.upstreams.limiters, services, route, now
+            )
+            ordered = [one for one in ordered if one.service not in lacking]
+            urgency = ADMITTED_URGENCY
+            if lacking:
+                reason = Reason.OVERLOADED
+        for weighted in ordered:
             chosen = self.place_in_service(
                 weighted.service,
                 urgency,
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Collection, Iterator
 
-from burdocksill.packets.admission import ConcurrencyLimiter
+from burdocksill.packets.admission import NO_ENDPOINT, ConcurrencyLimiter
 from burdocksill.packets.health import UpstreamHealth
 from burdocksill.packets.messages import UpstreamRecord, UpstreamState
 
@@ -103,15 +103,17 @@
         own_limit = max(1, limit * self.record.slots)
         return self.limiter.admits(urgency) and self.waiting < own_limit
 
-    def begin_request(self) -> None:
+    def begin_request(
+        self, endpoint: tuple[int, int] = NO_ENDPOINT, now: float = 0
+    ) -> None:
         """Count one more request in progress."""
         self.waiting += 1
-        self.limiter.waiting += 1
+        self.limiter.begin(endpoint, now)
 
-    def end_request(self) -> None:
+    def end_request(self, endpoint: tuple[int, int] = NO_ENDPOINT) -> None:
         """Count one request in progress less."""
         self.waiting -= 1
-        self.limiter.waiting -= 1
+        self.limiter.end(endpoint)
 
     def is_cold(self, now: float) -> bool:
         """Return True during its slow start."""
@@ -137,12 +139,17 @@
         'by_service',
         'expired',
         'limiters',
+        'make_limiter',
         'replaced',
         'store_healthy_since',
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self, make_limiter: type[ConcurrencyLimiter] = ConcurrencyLimiter
+    ) -> None:
         """Start without upstreams."""
+        # Class of the limiters of services.
+        self.make_limiter = make_limiter
         self.by_name: dict[str, KnownUpstream] = {}
         self.by_echo: dict[int, KnownUpstream] = {}
         # The process that was started last at each address.
@@ -185,7 +192,7 @@
             first_seen_at=now,
             limiter=self.limiters.setdefault(
                 record.service,
-                ConcurrencyLimiter(),
+                self.make_limiter(),
             ),
         )
         if record.cold_seconds:
--- a/burdocksill_lab/packets/deployment.py
+++ b/burdocksill_lab/packets/deployment.py
@@ -1,6 +1,6 @@
 """Simulated deployment under a burst of load, with two kinds of callers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -22,6 +22,12 @@
     },
 )
 OFFER_FRACTION: Final = 0.22
+# Fraction of the calls that each route gets.
+FRACTIONS: Final = MappingProxyType(
+    {FEED_PORT: 1 - OFFER_FRACTION, OFFER_PORT: OFFER_FRACTION},
+)
+# Idle flows that the callers of one domain and route keep as long flows.
+LONG_FLOWS: Final = 60
 WORK_SECONDS: Final = 0.055
 # Standard deviation of the logarithm of a request's work factor (mean 1).
 WORK_SIGMA: Final = 0.5
@@ -72,6 +78,13 @@
     slots: int = 4
     # False for the control run without admission control.
     admission: bool = True
+    objectives: Mapping[int, Objective] = OBJECTIVES
+    # Fraction of the calls by route, and by how much it grows in the burst
+    # beyond the growth of all.
+    fractions: Mapping[int, float] = FRACTIONS
+    bursts: Mapping[int, float] = attrs.field(factory=dict)
+    # True: callers keep long flows, and each retry opens a new one.
+    long_flows: bool = False
     callers: list[Callers] = attrs.field(factory=list)
     began_at: float = 0
     burst_seconds: float = 0
@@ -82,8 +95,8 @@
         """Start upstreams and nodes."""
         self.world.put_manifest(
             6,
-            dict.fromkeys(OBJECTIVES, 'ledger'),
-            objectives=OBJECTIVES,
+            dict.fromkeys(self.objectives, 'ledger'),
+            objectives=self.objectives,
         )
         for number in range(self.domains):
             for _ in range(self.nodes):
@@ -119,13 +132,15 @@
         """Run calls at fractions of the capacity: calm, burst, calm."""
         self.began_at = self.world.timeline.now
         self.burst_seconds = seconds
-        profile = LoadProfile(calm=calm, burst=burst, seconds=seconds)
         part = self.capacity / self.domains
         for number in range(self.domains):
-            feeds = part * (1 - OFFER_FRACTION)
-            self.call(f'd{number}', FEED_PORT, profile.scale(feeds))
-            offers = part * OFFER_FRACTION
-            self.call(f'd{number}', OFFER_PORT, profile.scale(offers))
+            for port, fraction in self.fractions.items():
+                profile = LoadProfile(
+                    calm=calm,
+                    burst=burst * self.bursts.get(port, 1),
+                    seconds=seconds,
+                )
+                self.call(f'd{number}', port, profile.scale(part * fraction))
         self.sample()
         self.world.run(2 * CALM_SECONDS + seconds)
         for one in self.callers:
@@ -160,6 +175,10 @@
             port=port,
             rate=rate,
         )
+        if self.long_flows:
+            callers.max_idle = LONG_FLOWS
+            callers.random_reuse = True
+            callers.retries_open_flows = True
         callers.start()
         self.callers.append(callers)
 
@@ -184,7 +203,7 @@
         end = CALM_SECONDS + self.burst_seconds
         return count_served(
             self.calls(CALM_SECONDS, end, port, domain),
-            OBJECTIVES[port].seconds,
+            self.objectives[port].seconds,
         )
 
     def refused_in(self, begin: float, end: float) -> int:
--- a/burdocksill_lab/packets/load.py
+++ b/burdocksill_lab/packets/load.py
@@ -59,6 +59,8 @@
     max_idle: int = 10
     # True: pick one of `max_idle` slots at random; False: the last idle flow.
     random_reuse: bool = False
+    # True: each further attempt of a call opens a new flow.
+    retries_open_flows: bool = False
     # Backoff before the first retry.
     pause_seconds: float = INITIAL_BACKOFF_SECONDS
     idle: list[ClientFlow] = attrs.field(factory=list)
@@ -89,7 +91,8 @@
     def attempt(self, call: Call) -> None:
         """Send a call on an idle flow, or on a new one if there is none."""
         call.tries += 1
-        flow = self.get_flow()
+        reuses = call.tries == 1 or not self.retries_open_flows
+        flow = self.get_flow() if reuses else self.open_flow()
         flow.on_end = lambda ended, request: self.handle_end(
             call, ended, request
         )
@@ -104,6 +107,10 @@
             flow = self.idle.pop(number)
             if not flow.ended:
                 return flow
+        return self.open_flow()
+
+    def open_flow(self) -> ClientFlow:
+        """Return a new flow."""
         number = len(self.calls) % ADDRESSES + 1
         flow = self.world.open_flow(
             self.domain,
