--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -13,7 +13,7 @@
 from burdocksill.packets.admission import (
     DECREASE_EXPONENT,
     MAX_LIMIT,
-    OBJECTIVE_FRACTION,
+
     QUEUED_FACTOR,
     RECENT_SMOOTHING,
     SIZE_SMOOTHING,
@@ -37,6 +37,10 @@
 # Fraction of the room that is divided evenly between all routes with demand
 # before their priorities count, so that no route is starved.
 LEAST_FRACTION: Final = 0.1
+# An answer is in time within this fraction of the objective. Open flows ask for
+# no admission, so that queues still grow when openings are refused: the other
+# half is for that.
+OBJECTIVE_FRACTION: Final = 0.5
 # An answer in time raises the limit by this fraction. With the step of a late
 # one the limit rests where few answers are late.
 INCREASE_FRACTION: Final = 0.004
