--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -34,6 +34,8 @@
 # Time constant of the rates below. A share that was lent is taken back within
 # twice this time: by then the demand of its owner is known.
 RATE_SECONDS: Final = 0.25
+# Time constant of the rate of answers, which needs more of them.
+ANSWER_RATE_SECONDS: Final = 0.5
 # Fraction of the room that is divided evenly between all routes with demand
 # before their priorities count, so that no route is starved.
 LEAST_FRACTION: Final = 0.1
@@ -62,21 +64,22 @@
 class DecayingRate:
     """Count events per second with exponential decay."""
 
-    __slots__ = ('per_second', 'updated_at')
+    __slots__ = ('per_second', 'seconds', 'updated_at')
 
-    def __init__(self) -> None:
-        """Start without events."""
+    def __init__(self, seconds: float = RATE_SECONDS) -> None:
+        """Store the time constant and start without events."""
+        self.seconds = seconds
         self.per_second: float = 0
         self.updated_at: float = 0
 
     def at(self, now: float) -> float:
         """Return the events per second."""
         elapsed = max(0, now - self.updated_at)
-        return self.per_second * exp(-elapsed / RATE_SECONDS)
+        return self.per_second * exp(-elapsed / self.seconds)
 
     def count(self, now: float) -> None:
         """Count one event."""
-        self.per_second = self.at(now) + 1 / RATE_SECONDS
+        self.per_second = self.at(now) + 1 / self.seconds
         self.updated_at = now
 
 
@@ -86,7 +89,9 @@
     __slots__ = (
         'answer_seconds',
         'answered_at',
+        'answers',
         'in_progress',
+        'longest_seconds',
         'priority',
         'refused',
         'requests',
@@ -107,6 +112,9 @@
         self.unqueued_seconds: float = 0
         self.usual_size: float = 0
         self.answered_at: float = 0
+        self.answers: DecayingRate = DecayingRate(ANSWER_RATE_SECONDS)
+        # Longest answer time that is in time.
+        self.longest_seconds: float = 0
 
     def use(self, now: float) -> float:
         """Return the requests that its open flows have in progress."""
@@ -118,6 +126,13 @@
         """Return the requests that all its callers would have in progress."""
         return self.use(now) + self.refused.at(now) * self.answer_seconds
 
+    def proven_room(self, now: float) -> float:
+        """Return the requests in progress that are answered in time.
+
+        By Little's law, it is their number if each takes the longest time.
+        """
+        return self.answers.at(now) * self.longest_seconds
+
     def is_refusal(self, sample: AnswerSample) -> bool:
         """Return True for an answer of an upstream that lacked room."""
         return (
@@ -140,6 +155,11 @@
             self.unqueued_seconds, sample.seconds, now - self.answered_at
         )
         self.answered_at = now
+        self.answers.count(now)
+        self.longest_seconds = max(
+            sample.objective_seconds * OBJECTIVE_FRACTION,
+            self.unqueued_seconds * QUEUED_FACTOR,
+        )
 
 
 class ShareState:
@@ -222,7 +242,7 @@
             zip(
                 wanting,
                 divide(
-                    self.limit * self.slots,
+                    self.room_for(route, now),
                     [
                         (self.routes[one].priority, demands[one])
                         for one in wanting
@@ -252,15 +272,29 @@
         self.update_baseline(sample.seconds, now)
         if not sample.objective_seconds:
             return
-        longest = max(
-            sample.objective_seconds * OBJECTIVE_FRACTION,
-            load.unqueued_seconds * QUEUED_FACTOR,
-        )
+        longest = load.longest_seconds
         if sample.seconds <= longest:
             self.limit = min(MAX_LIMIT, self.limit * (1 + INCREASE_FRACTION))
         else:
             self.lower(sample.in_progress * longest / sample.seconds)
 
+    def room_for(self, route: Route, now: float) -> float:
+        """Return the requests in progress that the routes divide.
+
+        Late answers of open flows, which ask for no admission, lower the limit
+        until these flows end. More urgent routes do not wait for that: they
+        have at least the room in which answers are in time.
+        """
+        room = self.limit * self.slots
+        is_last = all(
+            load.priority <= route.priority or not load.in_progress
+            for load in self.routes.values()
+        )
+        if is_last:
+            return room
+        proven = sum(load.proven_room(now) for load in self.routes.values())
+        return max(room, proven)
+
     def lower(self, fitting_limit: float) -> None:
         """Move the limit towards a lower one that would have fitted."""
         self.limit *= min(1, fitting_limit / self.limit) ** DECREASE_EXPONENT
