--- a/burdocksill/packets/admission.py
+++ b/burdocksill/packets/admission.py
@@ -111,6 +111,15 @@
         """Count one request in progress less."""
         self.waiting -= 1
 
+    def log_fields(self) -> dict[str, object]:
+        """Return the load for log lines."""
+        return {
+            'waiting': self.waiting,
+            'slots': self.slots,
+            'limit': round(self.limit, 3),
+            'usual_s': round(self.baseline_seconds, 3),
+        }
+
     def limit_for(self, urgency: int) -> float:
         """Return the limit for an urgency, in requests for each slot."""
         return self.limit * (1 + URGENCY_FRACTION * urgency)
--- a/burdocksill/packets/decisions.py
+++ b/burdocksill/packets/decisions.py
@@ -53,15 +53,11 @@
             extra={
                 'flow': flow_id(flow),
                 'repeat': repeat,
+                'route': route.name,
                 'priority': route.priority,
                 'objective_s': route.objective_seconds,
                 'services': {
-                    name: {
-                        'waiting': limiter.waiting,
-                        'slots': limiter.slots,
-                        'limit': round(limiter.limit, 3),
-                        'usual_s': round(limiter.baseline_seconds, 3),
-                    }
+                    name: limiter.log_fields()
                     for name, limiter in limiters.items()
                 },
             },
--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from math import exp
 
 from burdocksill.packets.admission import (
     DECREASE_EXPONENT,
     MAX_LIMIT,
-
     QUEUED_FACTOR,
     RECENT_SMOOTHING,
     SIZE_SMOOTHING,
@@ -21,12 +21,14 @@
     ConcurrencyLimiter,
     next_baseline,
 )
+from burdocksill.packets.header import format_ipv4
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Final
 
     from burdocksill.packets.messages import Route
+    from burdocksill.packets.routing import RoutingTable
 
 # Address and port of a route.
 Endpoint = tuple[int, int]
@@ -36,6 +38,10 @@
 RATE_SECONDS: Final = 0.25
 # Time constant of the rate of answers, which needs more of them.
 ANSWER_RATE_SECONDS: Final = 0.5
+# A service is overloaded when answers are expected to take this many times the
+# longest time, and for this long after that.
+ENTRY_FACTOR: Final = 1.2
+OVERLOADED_SECONDS: Final = 2.0
 # Fraction of the room that is divided evenly between all routes with demand
 # before their priorities count, so that no route is starved.
 LEAST_FRACTION: Final = 0.1
@@ -55,8 +61,13 @@
 REFUSAL_QUEUED_FACTOR: Final = 3.0
 # A refusal shows that at most this fraction of the requests fits.
 REFUSAL_FITTING_FRACTION: Final = 0.5
-# Routes whose demand, in requests in progress, is below this are forgotten.
+# Routes whose demand, in requests in progress, is below this need no share.
 NEGLIGIBLE_DEMAND: Final = 0.001
+# A route is forgotten below this rate, this long after its last answer.
+NEGLIGIBLE_RATE: Final = 0.001
+MEMORY_SECONDS: Final = 60.0
+# Number of routes that one log line names.
+MAX_LOGGED_ROUTES: Final = 3
 # Urgency of a flow that its route's share admits: no limit is below it.
 ADMITTED_URGENCY: Final = 1_000_000
 
@@ -126,6 +137,15 @@
         """Return the requests that all its callers would have in progress."""
         return self.use(now) + self.refused.at(now) * self.answer_seconds
 
+    def is_idle(self, now: float) -> bool:
+        """Return True when it has nothing in progress and no recent demand."""
+        return (
+            not self.in_progress
+            and self.requests.at(now) < NEGLIGIBLE_RATE
+            and self.refused.at(now) < NEGLIGIBLE_RATE
+            and now - self.answered_at > MEMORY_SECONDS
+        )
+
     def proven_room(self, now: float) -> float:
         """Return the requests in progress that are answered in time.
 
@@ -186,12 +206,16 @@
 class FairShareLimiter(ConcurrencyLimiter):
     """Limit the requests on a service, and divide the limit by route."""
 
-    __slots__ = ('routes',)
+    __slots__ = ('overloaded_until', 'routes', 'state')
 
     def __init__(self) -> None:
         """Start without routes."""
         super().__init__()
         self.routes: dict[Endpoint, RouteLoad] = {}
+        # Until when openings are refused to let the queues empty.
+        self.overloaded_until: float = 0
+        # What decided about the latest opening.
+        self.state: ShareState | None = None
 
     def begin(self, endpoint: Endpoint, now: float) -> None:
         """Count one more request in progress."""
@@ -213,21 +237,43 @@
         """Return True when one more flow of a route would be served in time.
 
         Always True while this node has no request in progress. Without answers
-        the limit would never change again.
+        the limit would never change again. Without slots there is no share to
+        compute, and placement tells that there is no upstream.
         """
-        if not self.waiting:
+        if not self.waiting or not self.slots:
             return True
-        self.load_of((route.address, route.port)).priority = route.priority
-        state = self.state_of(route, now)
-        return state.use < state.share
+        self.state = self.state_of(route, now)
+        return self.state.use < self.state.share
 
     def record_refused(self, route: Route, now: float) -> None:
         """Count a refused opening as demand of its route."""
         self.load_of((route.address, route.port)).refused.count(now)
 
+    def update_routes(self, table: RoutingTable, now: float) -> None:
+        """Take the priorities in force, and forget routes without demand."""
+        for endpoint, load in list(self.routes.items()):
+            route = table.find(endpoint)
+            load.priority = route.priority if route else table.least_urgent
+            if load.is_idle(now):
+                del self.routes[endpoint]
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the load for log lines, with the share last computed."""
+        fields = super().log_fields()
+        if self.state is not None:
+            fields['share'] = round(self.state.share, 2)
+            fields['use'] = round(self.state.use, 2)
+            fields['demand'] = round(self.state.demand, 2)
+            fields['borrowers'] = [
+                f'{format_ipv4(address)}:{port}'
+                for address, port in self.state.borrowers[:MAX_LOGGED_ROUTES]
+            ]
+        return fields
+
     def state_of(self, route: Route, now: float) -> ShareState:
         """Return the share of a route at the current demands."""
         own = (route.address, route.port)
+        self.load_of(own).priority = route.priority
         demands = {
             endpoint: load.demand(now) for endpoint, load in self.routes.items()
         }
@@ -283,17 +329,20 @@
 
         Late answers of open flows, which ask for no admission, lower the limit
         until these flows end. More urgent routes do not wait for that: they
-        have at least the room in which answers are in time.
+        have at least the room in which answers are in time. So have all
+        routes until more is in progress than that.
         """
         room = self.limit * self.slots
+        proven = sum(load.proven_room(now) for load in self.routes.values())
+        if self.waiting > max(room, proven * ENTRY_FACTOR):
+            self.overloaded_until = now + OVERLOADED_SECONDS
         is_last = all(
             load.priority <= route.priority or not load.in_progress
             for load in self.routes.values()
         )
-        if is_last:
-            return room
-        proven = sum(load.proven_room(now) for load in self.routes.values())
-        return max(room, proven)
+        if now > self.overloaded_until:
+            return max(room, proven * ENTRY_FACTOR)
+        return room if is_last else max(room, proven)
 
     def lower(self, fitting_limit: float) -> None:
         """Move the limit towards a lower one that would have fitted."""
@@ -310,16 +359,16 @@
     least = room * LEAST_FRACTION / max(1, len(wants))
     shares = [min(demand, least) for _, demand in wants]
     left = room - sum(shares)
-    for priority in sorted({one for one, _ in wants}):
-        members = [
-            number for number, want in enumerate(wants) if want[0] == priority
-        ]
-        members.sort(key=lambda number: wants[number][1])
-        for position, number in enumerate(members):
-            missing = wants[number][1] - shares[number]
-            given = min(missing, left / (len(members) - position))
-            shares[number] += given
-            left -= given
+    # Within a priority the smallest demands come first: what they leave is lent
+    # to the others.
+    order = sorted(range(len(wants)), key=wants.__getitem__)
+    members = Counter(priority for priority, _ in wants)
+    for number in order:
+        priority, demand = wants[number]
+        given = min(demand - shares[number], left / members[priority])
+        members[priority] -= 1
+        shares[number] += given
+        left -= given
     return [share + left / len(wants) for share in shares]
 
 
@@ -327,22 +376,23 @@
     limiters: Mapping[str, ConcurrencyLimiter],
     services: list[str],
     route: Route,
+    table: RoutingTable,
     now: float,
 ) -> set[str]:
     """Return the services without room for one more flow of a route.
 
     If none has room, the refusal counts as demand on the first service.
     """
-    fair = {
-        name: limiters[name]
-        for name in services
-        if isinstance(limiters.get(name), FairShareLimiter)
-    }
-    lacking = {
-        name
-        for name, limiter in fair.items()
-        if not limiter.has_room(route, now)
-    }
-    if services and len(lacking) == len(services):
-        fair[services[0]].record_refused(route, now)
-    return lacking
+    lacking: list[FairShareLimiter] = []
+    names: set[str] = set()
+    for service in services:
+        limiter = limiters.get(service)
+        if not isinstance(limiter, FairShareLimiter):
+            continue
+        limiter.update_routes(table, now)
+        if not limiter.has_room(route, now):
+            lacking.append(limiter)
+            names.add(service)
+    if lacking and len(lacking) == len(services):
+        lacking[0].record_refused(route, now)
+    return names
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -159,7 +159,7 @@
         if Feature.FAIR_ADMISSION in self.features:
             services = [weighted.service for weighted in ordered]
             lacking = lacking_room(
-                self.upstreams.limiters, services, route, now
+                self.upstreams.limiters, services, route, self.table, now
             )
             ordered = [one for one in ordered if one.service not in lacking]
             urgency = ADMITTED_URGENCY
