--- a/burdocksill/packets/admission.py
+++ b/burdocksill/packets/admission.py
@@ -166,8 +166,13 @@
         )
 
 
-def next_baseline(baseline: float, seconds: float, elapsed: float) -> float:
+def next_baseline(
+    baseline: float,
+    seconds: float,
+    elapsed: float,
+    growth_per_second: float = BASELINE_GROWTH_PER_SECOND,
+) -> float:
     """Return the answer time without queueing after one more answer."""
     if seconds < baseline:
         return baseline + (seconds - baseline) * BASELINE_SMOOTHING
-    return min(seconds, baseline * (1 + BASELINE_GROWTH_PER_SECOND * elapsed))
+    return min(seconds, baseline * (1 + growth_per_second * elapsed))
--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -42,6 +42,12 @@
 # longest time, and for this long after that.
 ENTRY_FACTOR: Final = 1.2
 OVERLOADED_SECONDS: Final = 2.0
+# While it is overloaded, the routes share this fraction of what it answers, so
+# that the queues empty.
+DRAIN_FRACTION: Final = 0.7
+# Fraction by which the unqueued answer time rises in a second. While open flows
+# fill all queues there is no unqueued answer, so it has to rise slowly.
+UNQUEUED_GROWTH_PER_SECOND: Final = 0.02
 # Fraction of the room that is divided evenly between all routes with demand
 # before their priorities count, so that no route is starved.
 LEAST_FRACTION: Final = 0.1
@@ -61,8 +67,6 @@
 REFUSAL_QUEUED_FACTOR: Final = 3.0
 # A refusal shows that at most this fraction of the requests fits.
 REFUSAL_FITTING_FRACTION: Final = 0.5
-# Routes whose demand, in requests in progress, is below this need no share.
-NEGLIGIBLE_DEMAND: Final = 0.001
 # A route is forgotten below this rate, this long after its last answer.
 NEGLIGIBLE_RATE: Final = 0.001
 MEMORY_SECONDS: Final = 60.0
@@ -133,9 +137,26 @@
             self.in_progress, self.requests.at(now) * self.answer_seconds
         )
 
+    def work(self, now: float) -> float:
+        """Return the slots that the requests of its open flows need.
+
+        Unlike the requests in progress, it does not grow with the queues.
+        """
+        if not self.unqueued_seconds:
+            return self.in_progress
+        return self.requests.at(now) * self.unqueued_seconds
+
     def demand(self, now: float) -> float:
-        """Return the requests that all its callers would have in progress."""
-        return self.use(now) + self.refused.at(now) * self.answer_seconds
+        """Return the slots that the requests of all its callers need."""
+        return self.work(now) + self.refused.at(now) * self.unqueued_seconds
+
+    def answered_work(self, now: float) -> float:
+        """Return the slots that its answered requests needed."""
+        return self.answers.at(now) * self.unqueued_seconds
+
+    def one_more(self) -> float:
+        """Return by how much one more request raises its work."""
+        return self.unqueued_seconds / RATE_SECONDS or 1
 
     def is_idle(self, now: float) -> bool:
         """Return True when it has nothing in progress and no recent demand."""
@@ -172,7 +193,10 @@
         change = sample.seconds - self.answer_seconds
         self.answer_seconds += change * RECENT_SMOOTHING
         self.unqueued_seconds = next_baseline(
-            self.unqueued_seconds, sample.seconds, now - self.answered_at
+            self.unqueued_seconds,
+            sample.seconds,
+            now - self.answered_at,
+            UNQUEUED_GROWTH_PER_SECOND,
         )
         self.answered_at = now
         self.answers.count(now)
@@ -195,7 +219,7 @@
         use: float,
         borrowers: tuple[Endpoint, ...],
     ) -> None:
-        """Store the arguments, in requests in progress."""
+        """Store the arguments, in slots."""
         self.share = share
         self.demand = demand
         self.use = use
@@ -242,7 +266,15 @@
         """
         if not self.waiting or not self.slots:
             return True
-        self.state = self.state_of(route, now)
+        loads = self.routes.values()
+        room = self.limit * self.slots
+        proven = sum(load.proven_room(now) for load in loads)
+        if self.waiting > max(room, proven * ENTRY_FACTOR):
+            self.overloaded_until = now + OVERLOADED_SECONDS
+        used = sum(load.use(now) for load in loads)
+        if now > self.overloaded_until or used < room:
+            return True
+        self.state = self.state_of(route, now, max(room / used, DRAIN_FRACTION))
         return self.state.use < self.state.share
 
     def record_refused(self, route: Route, now: float) -> None:
@@ -270,41 +302,30 @@
             ]
         return fields
 
-    def state_of(self, route: Route, now: float) -> ShareState:
-        """Return the share of a route at the current demands."""
+    def state_of(self, route: Route, now: float, fraction: float) -> ShareState:
+        """Return the share of a route in a fraction of what is answered."""
         own = (route.address, route.port)
         self.load_of(own).priority = route.priority
-        demands = {
-            endpoint: load.demand(now) for endpoint, load in self.routes.items()
+        work = {one: load.work(now) for one, load in self.routes.items()}
+        wants = {
+            one: (load.priority, load.demand(now))
+            for one, load in self.routes.items()
         }
-        wanting = [
-            endpoint
-            for endpoint, demand in demands.items()
-            if demand > NEGLIGIBLE_DEMAND or endpoint == own
-        ]
-        # One more request of the route that asks.
-        demands[own] += 1
+        wants[own] = (
+            route.priority,
+            wants[own][1] + self.routes[own].one_more(),
+        )
+        answered = sum(load.answered_work(now) for load in self.routes.values())
+        room = answered * fraction or self.limit * self.slots
         shares = dict(
-            zip(
-                wanting,
-                divide(
-                    self.room_for(route, now),
-                    [
-                        (self.routes[one].priority, demands[one])
-                        for one in wanting
-                    ],
-                ),
-                strict=True,
-            )
+            zip(wants, divide(room, list(wants.values())), strict=True)
         )
         return ShareState(
             share=shares[own],
-            demand=demands[own],
-            use=self.routes[own].use(now),
+            demand=wants[own][1],
+            use=work[own],
             borrowers=tuple(
-                one
-                for one in wanting
-                if one != own and self.routes[one].use(now) > shares[one]
+                one for one in wants if one != own and work[one] > shares[one]
             ),
         )
 
@@ -324,26 +345,6 @@
         else:
             self.lower(sample.in_progress * longest / sample.seconds)
 
-    def room_for(self, route: Route, now: float) -> float:
-        """Return the requests in progress that the routes divide.
-
-        Late answers of open flows, which ask for no admission, lower the limit
-        until these flows end. More urgent routes do not wait for that: they
-        have at least the room in which answers are in time. So have all
-        routes until more is in progress than that.
-        """
-        room = self.limit * self.slots
-        proven = sum(load.proven_room(now) for load in self.routes.values())
-        if self.waiting > max(room, proven * ENTRY_FACTOR):
-            self.overloaded_until = now + OVERLOADED_SECONDS
-        is_last = all(
-            load.priority <= route.priority or not load.in_progress
-            for load in self.routes.values()
-        )
-        if now > self.overloaded_until:
-            return max(room, proven * ENTRY_FACTOR)
-        return room if is_last else max(room, proven)
-
     def lower(self, fitting_limit: float) -> None:
         """Move the limit towards a lower one that would have fitted."""
         self.limit *= min(1, fitting_limit / self.limit) ** DECREASE_EXPONENT
--- a/burdocksill_lab/packets/deployment.py
+++ b/burdocksill_lab/packets/deployment.py
@@ -26,7 +26,7 @@
 FRACTIONS: Final = MappingProxyType(
     {FEED_PORT: 1 - OFFER_FRACTION, OFFER_PORT: OFFER_FRACTION},
 )
-# Idle flows that the callers of one domain and route keep as long flows.
+# Idle flows that callers of one domain and route keep if their flows are long.
 LONG_FLOWS: Final = 60
 WORK_SECONDS: Final = 0.055
 # Standard deviation of the logarithm of a request's work factor (mean 1).
@@ -83,8 +83,9 @@
     # beyond the growth of all.
     fractions: Mapping[int, float] = FRACTIONS
     bursts: Mapping[int, float] = attrs.field(factory=dict)
-    # True: callers keep long flows, and each retry opens a new one.
-    long_flows: bool = False
+    # Idle flows that callers of one domain and route keep; each retry then opens
+    # a new one. None keeps what callers do by default.
+    max_idle: int | None = None
     callers: list[Callers] = attrs.field(factory=list)
     began_at: float = 0
     burst_seconds: float = 0
@@ -175,8 +176,8 @@
             port=port,
             rate=rate,
         )
-        if self.long_flows:
-            callers.max_idle = LONG_FLOWS
+        if self.max_idle is not None:
+            callers.max_idle = self.max_idle
             callers.random_reuse = True
             callers.retries_open_flows = True
         callers.start()
