--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -35,16 +35,16 @@
 
 # Time constant of the rates below. A share that was lent is taken back within
 # twice this time: by then the demand of its owner is known.
-RATE_SECONDS: Final = 0.25
+RATE_SECONDS: Final = 0.5
 # Time constant of the rate of answers, which needs more of them.
 ANSWER_RATE_SECONDS: Final = 0.5
 # A service is overloaded when answers are expected to take this many times the
 # longest time, and for this long after that.
 ENTRY_FACTOR: Final = 1.2
 OVERLOADED_SECONDS: Final = 2.0
-# While it is overloaded, the routes share this fraction of what it answers, so
-# that the queues empty.
-DRAIN_FRACTION: Final = 0.7
+# While it is overloaded, routes that want more than their share get at least
+# this fraction of it, so that the queues empty.
+DRAIN_FRACTION: Final = 0.5
 # Fraction by which the unqueued answer time rises in a second. While open flows
 # fill all queues there is no unqueued answer, so it has to rise slowly.
 UNQUEUED_GROWTH_PER_SECOND: Final = 0.02
@@ -274,8 +274,12 @@
         used = sum(load.use(now) for load in loads)
         if now > self.overloaded_until or used < room:
             return True
-        self.state = self.state_of(route, now, max(room / used, DRAIN_FRACTION))
-        return self.state.use < self.state.share
+        state = self.state_of(route, now)
+        self.state = state
+        # The queues empty at the expense of the routes that want far more than
+        # their shares.
+        fraction = max(room / used, state.share / state.demand, DRAIN_FRACTION)
+        return state.use < state.share * fraction
 
     def record_refused(self, route: Route, now: float) -> None:
         """Count a refused opening as demand of its route."""
@@ -302,8 +306,8 @@
             ]
         return fields
 
-    def state_of(self, route: Route, now: float, fraction: float) -> ShareState:
-        """Return the share of a route in a fraction of what is answered."""
+    def state_of(self, route: Route, now: float) -> ShareState:
+        """Return the share of a route in the work that is answered."""
         own = (route.address, route.port)
         self.load_of(own).priority = route.priority
         work = {one: load.work(now) for one, load in self.routes.items()}
@@ -316,7 +320,7 @@
             wants[own][1] + self.routes[own].one_more(),
         )
         answered = sum(load.answered_work(now) for load in self.routes.values())
-        room = answered * fraction or self.limit * self.slots
+        room = answered or self.limit * self.slots
         shares = dict(
             zip(wants, divide(room, list(wants.values())), strict=True)
         )
