--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -33,8 +33,8 @@
 # Address and port of a route.
 Endpoint = tuple[int, int]
 
-# Time constant of the rates below. A share that was lent is taken back within
-# twice this time: by then the demand of its owner is known.
+# Time constant of the rates of requests and refusals. An owner that returns is
+# admitted at once, and the borrower is refused as far as its demand is known.
 RATE_SECONDS: Final = 0.5
 # Time constant of the rate of answers, which needs more of them.
 ANSWER_RATE_SECONDS: Final = 0.5
@@ -45,6 +45,10 @@
 # While it is overloaded, routes that want more than their share get at least
 # this fraction of it, so that the queues empty.
 DRAIN_FRACTION: Final = 0.5
+# A route whose demand is below this many times its share is not refused while
+# another wants at least twice as much of its own: a node sees few requests, so
+# that demands appear to vary by this much.
+MINOR_EXCESS: Final = 1.5
 # Fraction by which the unqueued answer time rises in a second. While open flows
 # fill all queues there is no unqueued answer, so it has to rise slowly.
 UNQUEUED_GROWTH_PER_SECOND: Final = 0.02
@@ -209,7 +213,7 @@
 class ShareState:
     """Hold the share of a route and what decided it."""
 
-    __slots__ = ('borrowers', 'demand', 'share', 'use')
+    __slots__ = ('borrowers', 'demand', 'largest_excess', 'share', 'use')
 
     def __init__(
         self,
@@ -218,8 +222,11 @@
         demand: float,
         use: float,
         borrowers: tuple[Endpoint, ...],
+        largest_excess: float,
     ) -> None:
         """Store the arguments, in slots."""
+        # Highest ratio of a route's demand to its share.
+        self.largest_excess = largest_excess
         self.share = share
         self.demand = demand
         self.use = use
@@ -269,7 +276,12 @@
         loads = self.routes.values()
         room = self.limit * self.slots
         proven = sum(load.proven_room(now) for load in loads)
-        if self.waiting > max(room, proven * ENTRY_FACTOR):
+        wanted = sum(load.demand(now) for load in loads)
+        answered = sum(load.answered_work(now) for load in loads)
+        if (
+            self.waiting > max(room, proven * ENTRY_FACTOR)
+            and wanted > answered * ENTRY_FACTOR
+        ):
             self.overloaded_until = now + OVERLOADED_SECONDS
         used = sum(load.use(now) for load in loads)
         if now > self.overloaded_until or used < room:
@@ -278,7 +290,10 @@
         self.state = state
         # The queues empty at the expense of the routes that want far more than
         # their shares.
-        fraction = max(room / used, state.share / state.demand, DRAIN_FRACTION)
+        excess = state.demand / state.share if state.share else 1
+        if excess < min(MINOR_EXCESS, state.largest_excess / 2):
+            return True
+        fraction = max(room / used, 1 / excess, DRAIN_FRACTION)
         return state.use < state.share * fraction
 
     def record_refused(self, route: Route, now: float) -> None:
@@ -328,6 +343,9 @@
             share=shares[own],
             demand=wants[own][1],
             use=work[own],
+            largest_excess=max(
+                wants[one][1] / shares[one] for one in wants if shares[one]
+            ),
             borrowers=tuple(
                 one for one in wants if one != own and work[one] > shares[one]
             ),
--- a/burdocksill_lab/packets/deployment.py
+++ b/burdocksill_lab/packets/deployment.py
@@ -83,7 +83,7 @@
     # beyond the growth of all.
     fractions: Mapping[int, float] = FRACTIONS
     bursts: Mapping[int, float] = attrs.field(factory=dict)
-    # Idle flows that callers of one domain and route keep; each retry then opens
+    # Idle flows that callers of a domain and route keep; each retry then opens
     # a new one. None keeps what callers do by default.
     max_idle: int | None = None
     callers: list[Callers] = attrs.field(factory=list)
