--- a/tests/packets/fair_share.feature
+++ b/tests/packets/fair_share.feature
@@ -109,3 +109,8 @@
     And 3 of 9 upstreams end at second 5
     When calls come at 0.5 of its capacity, and at 0.8 for 6 seconds
     Then at least 0.98 of the offers asked from second 6 on are in time
+
+  Scenario: Log lines tell a route's share and who uses more than its own
+    Given a deployment under load with fair admission
+    When its log lines are kept while calls come at 1.5 of its capacity
+    Then each refused opening has a line with route, share, use, demand and borrowers
--- a/tests/steps/packets_fair_load.py
+++ b/tests/steps/packets_fair_load.py
@@ -195,3 +195,19 @@
     calls: list[Call] = deployment.calls(at, end, OFFER_PORT)
     served = count_served(calls, OBJECTIVES[OFFER_PORT].seconds)
     assert served.in_time_share >= least, served
+
+
+@then(
+    'each refused opening has a line with route, share, use, demand '
+    'and borrowers'
+)
+def check_share_lines(context: Context) -> None:
+    """Check the fields of the lines against the refusals of callers."""
+    lines = [one for one in context.lines if one['message'] == 'overloaded']
+    refused = context.deployment.refused_in(0, float('inf'))
+    assert 0 < len(lines) == refused, (len(lines), refused)
+    for line in lines:
+        load = line['services']['ledger']
+        assert line['route'] in {'r-8443', 'r-8080'}, line
+        assert load['demand'] > 0 <= load['share'], line
+        assert load['use'] >= 0 <= len(load['borrowers']) <= 3, line
