--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -45,10 +45,11 @@
 # While it is overloaded, routes that want more than their share get at least
 # this fraction of it, so that the queues empty.
 DRAIN_FRACTION: Final = 0.5
-# A route whose demand is below this many times its share is not refused while
-# another wants at least twice as much of its own: a node sees few requests, so
-# that demands appear to vary by this much.
-MINOR_EXCESS: Final = 1.5
+# A route whose excess, the ratio of its demand to its share, is below this
+# fraction of the largest one is not refused up to this many times its share. A
+# node sees few requests, so that demands and shares vary by as much by chance.
+MINOR_FRACTION: Final = 0.7
+MINOR_USE: Final = 1.5
 # Fraction by which the unqueued answer time rises in a second. While open flows
 # fill all queues there is no unqueued answer, so it has to rise slowly.
 UNQUEUED_GROWTH_PER_SECOND: Final = 0.02
@@ -291,7 +292,10 @@
         # The queues empty at the expense of the routes that want far more than
         # their shares.
         excess = state.demand / state.share if state.share else 1
-        if excess < min(MINOR_EXCESS, state.largest_excess / 2):
+        if (
+            excess < state.largest_excess * MINOR_FRACTION
+            and state.use < state.share * MINOR_USE
+        ):
             return True
         fraction = max(room / used, 1 / excess, DRAIN_FRACTION)
         return state.use < state.share * fraction
