--- a/tests/readers/load_reports.feature
+++ b/tests/readers/load_reports.feature
@@ -59,6 +59,10 @@
     When 12 seconds go by
     Then nodes of "d0" know the flows on each upstream
 
+  Scenario: Operators see whether the load is shared
+    Guards against a node that goes by its own flows and does not tell.
+    Then a loss of the load shows in log lines and metrics
+
   Scenario Outline: A node that exaggerates empties nothing
     Guards against a lie by a factor of 100 about <what>.
     When a node of "d0" reports 100 times its load of <what>
--- a/tests/steps/readers_load_reports.py
+++ b/tests/steps/readers_load_reports.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from random import Random
 from typing import Any
+from unittest import mock
 
 import attrs
 import trio
@@ -19,8 +20,10 @@
 )
 
 from burdocksill.network.addresses import Address
+from burdocksill.observe.early import early_lines
 from burdocksill.packets.features import Feature
 from burdocksill.packets.load_table import LoadTable
+from burdocksill.packets.metrics import MetricsPage
 from burdocksill.packets.shared_load import SharedLoad
 from burdocksill.packets.upstreams import KnownUpstream
 from burdocksill.platform.records import UPSTREAMS
@@ -438,6 +441,40 @@
     assert await fleet.in_force(fleet.put_version(), 3) <= 3
 
 
+@attrs.define
+class KeptLines:
+    """Keep log lines instead of writing them."""
+
+    lines: list[tuple[str, dict[str, Any]]] = attrs.field(factory=list)
+
+    def write(self, _: str, message: str, extra: Any, **_time: float) -> None:
+        """Keep a line."""
+        self.lines.append((message, extra))
+
+
+@fleet_step(then, 'a loss of the load shows in log lines and metrics')
+async def check_shown(fleet: SharedFleet, script: LoadScript) -> None:
+    """Kill the reader, and read what a node says until the next reader."""
+    node = next(node for node in nodes_of(fleet) if not node.is_reader)
+    page = MetricsPage(core=node.core, store_sync=node.store_sync)
+    kept = KeptLines()
+    with mock.patch.object(early_lines, 'writer', kept):
+        fleet.kill(fleet.reader_of('d0'))
+        await sample(fleet, script, 3)
+        assert 'shared_load' not in page.render(trio.current_time())
+        await sample(fleet, script, 12)
+    text = page.render(trio.current_time())
+    assert 'burdocksill_shared_load_nodes 23' in text, text
+    assert 'burdocksill_shared_load_age_seconds 0.' in text, text
+    assert 'burdocksill_load_rows_total{direction="received"}' in text, text
+    told = [line for line in kept.lines if line[0].startswith('shared load')]
+    lost = [extra['age_s'] for message, extra in told if 'lost' in message]
+    known = [extra['nodes'] for message, extra in told if 'known' in message]
+    # One line of each of the 11 nodes that are left.
+    assert len(lost) == 11 and all(2 <= age <= 4 for age in lost), lost
+    assert known == [23] * 11, known
+
+
 @fleet_step(then, 'nodes sent at most 2000 bytes a second, and know all loads')
 async def check_bytes(fleet: SharedFleet, script: LoadScript) -> None:
     """Count all bytes between nodes, and check what they are worth."""
