Conclude with other nodes of a domain that an upstream fell silent

A node of a large domain sees one flow in twenty, so that requests on an upstream that went dark were ended one by one by their third retransmission (1.4 s). Nodes now report retransmissions to the domain's reader, which asks all nodes for answers since, and tells them when there are none. Only where settings ask for silence-reports.

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -9,15 +9,17 @@
 
 from burdocksill.network.clock import Clock, boot_seconds
 from burdocksill.packets.decisions import PacketDecisions
+from burdocksill.packets.features import Feature
 from burdocksill.packets.flows import FlowTable
 from burdocksill.packets.forwarder import Forwarder
 from burdocksill.packets.header import LARGEST_PACKET
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.settings import PacketSettings
+from burdocksill.packets.silence import SilenceDetector
 from burdocksill.packets.store_cache import StoreCache, SyncProgress
 from burdocksill.packets.updater import Decoder, StateUpdater
-from burdocksill.packets.upstreams import UpstreamRegistry
+from burdocksill.packets.upstreams import KnownUpstream, UpstreamRegistry
 from burdocksill.packets.verdicts import Drop, Forward, Reason, Reset
 
 TYPE_CHECKING = False
@@ -59,6 +61,13 @@
         self.last_packet_at: float = float('-inf')
         # Since when the socket has not been empty; 0 while it is.
         self.backlogged_since: float = 0
+        if self.silence is not None:
+            self.silence.on_confirmed = self.end_silent
+
+    @property
+    def silence(self) -> SilenceDetector | None:
+        """Return what shares evidence of silent upstreams; None if unused."""
+        return self.forwarder.flows.silence
 
     @property
     def updater(self) -> StateUpdater:
@@ -96,6 +105,21 @@
         if missed:
             self.counts[Reason.OPENING_MISSED.value] += missed
 
+    def end_silent(self, upstream: KnownUpstream, since: float) -> bool:
+        """Reset the flows of an upstream that other nodes found silent.
+
+        Return False if packets that wait in the socket show an answer, or may
+        show one.
+        """
+        now = self.store_cache.clock()
+        self.drain(now)
+        if self.backlogged_since or upstream.health.last_answer_at > since:
+            return False
+        upstream.health.eject(now)
+        self.forwarder.reset_all(upstream, Reason.UPSTREAM_SILENT)
+        self.send_pending_resets()
+        return True
+
     def seconds_until_due(self, now: float) -> float:
         """Return the seconds until `expire_openings` has something to do."""
         if self.updater.upstreams.replaced or self.updater.upstreams.expired:
@@ -138,6 +162,8 @@
         """Expire idle flows, old upstreams, suspicions and deferrals."""
         self.updater.upstreams.remove_expired(now)
         self.updater.placer.outages.expire_suspicions(now)
+        if self.silence is not None:
+            self.silence.expire(now)
         self.updater.apply_deferred(now)
         manifest = self.updater.table.manifest
         if manifest is not None:
@@ -159,6 +185,9 @@
     table = RoutingTable()
     upstreams = UpstreamRegistry()
     progress = SyncProgress(clock=age_clock)
+    silence = None
+    if Feature.SILENCE_REPORTS in settings.features:
+        silence = SilenceDetector(upstreams=upstreams)
     placer = PacketPlacer(
         domain=settings.domain,
         table=table,
@@ -175,7 +204,7 @@
             placer=placer,
             freshness=progress,
             log=PacketDecisions(),
-            flows=FlowTable(table=table),
+            flows=FlowTable(table=table, silence=silence),
         ),
         store_cache=StoreCache(
             updater=StateUpdater(
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -19,6 +19,7 @@
     sequence_distance,
 )
 from burdocksill.packets.routing import RoutingTable
+from burdocksill.packets.silence import SilenceDetector
 from burdocksill.packets.upstreams import KnownUpstream
 
 TYPE_CHECKING = False
@@ -46,6 +47,7 @@
         'last_seen_at',
         'objective_seconds',
         'open',
+        'repeated_at',
         'retransmitted',
         'seq',
         'unanswered_since',
@@ -73,20 +75,30 @@
         self.unanswered_since: float = 0
         self.open = False
         self.retransmitted = False
+        # When unanswered data was first sent again; 0 if it was not.
+        self.repeated_at: float = 0
 
 
 class FlowTable:
     """Hold the flows that were started last, in the order of their start."""
 
-    __slots__ = ('answer_times', 'flows', 'is_backlogged', 'limit', 'table')
+    __slots__ = (
+        'answer_times',
+        'flows',
+        'is_backlogged',
+        'limit',
+        'silence',
+        'table',
+    )
 
     def __init__(
         self,
         *,
         limit: int = MAX_FLOWS,
         table: RoutingTable | None = None,
+        silence: SilenceDetector | None = None,
     ) -> None:
-        """Store the limit and the routing table, and start without flows."""
+        """Store the arguments and start without flows."""
         self.limit = limit
         self.flows: dict[FlowKey, TrackedFlow] = {}
         # True while packets wait long in the socket, so that retransmissions
@@ -94,6 +106,8 @@
         self.is_backlogged = False
         # Holds the objectives of the routes.
         self.table: RoutingTable = RoutingTable() if table is None else table
+        # Shares evidence with other nodes; None if settings don't ask for it.
+        self.silence = silence
         # Service and seconds of answers that the metrics have not read yet.
         self.answer_times: deque[tuple[str, float]] = deque(
             maxlen=MAX_ANSWER_TIMES
@@ -203,10 +217,13 @@
         health = flow.upstream.health
         if flow.unanswered_since:
             self.record_answer_time(flow, packet, now)
+        sent_at = flow.unanswered_since
         flow.open = True
         flow.ack = packet.ack
         self.end_wait(flow)
         health.record_answer(now)
+        if self.silence is not None:
+            self.silence.record_answer(flow.upstream, sent_at, now)
 
     def record_answer_time(
         self,
@@ -251,6 +268,7 @@
         if packet.seq != flow.seq:
             flow.seq = packet.seq
             flow.retransmitted = False
+            flow.repeated_at = 0
             if not flow.unanswered_since:
                 flow.unanswered_since = now
                 flow.upstream.begin_request()
@@ -262,3 +280,21 @@
                     packet.flow,
                     flow.unanswered_since,
                 )
+                self.report_repeat(packet, flow, now)
+
+    def report_repeat(
+        self,
+        packet: Packet,
+        flow: TrackedFlow,
+        now: float,
+    ) -> None:
+        """Report retransmitted data, if nodes share such evidence."""
+        flow.repeated_at = flow.repeated_at or now
+        if self.silence is not None:
+            self.silence.record_repeat(
+                flow.upstream,
+                packet.client,
+                flow.unanswered_since,
+                flow.repeated_at,
+                now,
+            )
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -122,7 +122,7 @@
             copy = with_echo(payload, seen.upstream.echo)
             return self.forward(copy, seen.upstream, Reason.OPENED)
         elif packet.ack:
-            exclude = self.exclude_unanswered(seen, now)
+            exclude = self.exclude_unanswered(seen, packet.client, now)
             reason = Reason.OPENED_ELSEWHERE
         else:
             exclude = frozenset()
@@ -156,12 +156,16 @@
         return frozenset((seen.upstream.record.name,))
 
     def exclude_unanswered(
-        self, seen: TrackedFlow, now: float
+        self, seen: TrackedFlow, client: int, now: float
     ) -> frozenset[str]:
         """Record an unanswered opening and return its upstream's name."""
         upstream = seen.upstream
         if not self.flows.is_backlogged:
             upstream.health.record_missed(now, seen.last_seen_at)
+            if self.flows.silence is not None:
+                self.flows.silence.record_opening(
+                    upstream, client, seen.last_seen_at, now
+                )
         return frozenset((upstream.record.name,))
 
     def reset_lost_flows(self, now: float) -> None:
--- a/burdocksill/packets/program.py
+++ b/burdocksill/packets/program.py
@@ -46,7 +46,9 @@
     node = PacketNode(
         settings=settings,
         core=core,
-        store_sync=await make_store_sync(settings, core.store_cache, runtime),
+        store_sync=await make_store_sync(
+            settings, core.store_cache, runtime, core.silence
+        ),
         clock=time.monotonic,
         probes=probes,
     )
--- a/burdocksill/packets/sync.py
+++ b/burdocksill/packets/sync.py
@@ -12,6 +12,7 @@
 from burdocksill.network.http import HttpConnection
 from burdocksill.network.protocols import Network
 from burdocksill.packets.settings import PacketSettings
+from burdocksill.packets.silence import SilenceDetector, SilenceJudge
 from burdocksill.packets.store_cache import StoreCache
 from burdocksill.packets.store_probe import StoreProbe
 from burdocksill.packets.updater import StateUpdater
@@ -29,6 +30,7 @@
 from burdocksill.readers.messages import Reader
 from burdocksill.readers.observations import ObservationExchange
 from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.silence_reports import SilenceExchange
 from burdocksill.readers.subscription import Subscription
 
 
@@ -92,6 +94,14 @@
         observations = self.sharing.exchange.observations
         return {'sent': observations.sent, 'received': observations.received}
 
+    @property
+    def silence_reports(self) -> dict[str, int]:
+        """Return the number of reports of silence sent and received."""
+        silence = self.sharing and self.sharing.exchange.silence
+        if not silence:
+            return {}
+        return {'sent': silence.sent, 'received': silence.received}
+
     async def run(self) -> None:
         """Watch the store and exchange updates with peers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -140,6 +150,7 @@
     settings: PacketSettings,
     store_cache: StoreCache,
     runtime: Runtime,
+    silence: SilenceDetector | None = None,
 ) -> StoreSync:
     """Create the tasks; share reads with peers if an address is set."""
     platform = make_platform(settings, runtime)
@@ -154,11 +165,30 @@
         sharing = await make_sharing(
             settings, settings.peer, store_cache, runtime
         )
+        if silence is not None:
+            share_silence(sharing.exchange, silence)
         store_sync.sharing = sharing
         watcher.read_gate = sharing.exchange.read_gate
     return store_sync
 
 
+def share_silence(exchange: PeerExchange, detector: SilenceDetector) -> None:
+    """Exchange evidence of silent upstreams over the socket for peers."""
+    observations = exchange.observations
+    exchange.silence = SilenceExchange(
+        local_node=observations.local_node,
+        domain=observations.domain,
+        directory=observations.directory,
+        detector=detector,
+        judge=SilenceJudge(upstreams=detector.upstreams),
+        publisher=observations.publisher,
+        clock=observations.clock,
+        send=observations.send,
+        on_waiting=exchange.schedule_observations,
+    )
+    detector.on_report = exchange.silence.report
+
+
 async def make_sharing(
     settings: PacketSettings,
     peer: Address,
--- a/burdocksill/packets/verdicts.py
+++ b/burdocksill/packets/verdicts.py
@@ -24,6 +24,7 @@
     UPSTREAM_GONE = 'upstream-gone'
     UPSTREAM_REPLACED = 'upstream-replaced'
     UPSTREAM_DARK = 'upstream-dark'
+    UPSTREAM_SILENT = 'upstream-silent'
     FLOW_SILENT = 'flow-silent'
 
 
--- a/burdocksill/readers/datagrams.py
+++ b/burdocksill/readers/datagrams.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from burdocksill.packets.silence import SilenceNotice, SilenceReport
 from burdocksill.platform.values import StoredValue
 from burdocksill.readers.messages import Observation
 
@@ -50,4 +51,25 @@
     observations: tuple[Observation, ...]
 
 
-Message = UpdateRequest | Update | Offer | Observations
+@attrs.frozen(kw_only=True)
+class SilenceReports:
+    """Report retransmissions and answers to the domain's reader."""
+
+    reports: tuple[SilenceReport, ...]
+
+
+@attrs.frozen(kw_only=True)
+class SilenceNotices:
+    """Ask all nodes of a domain for answers, or tell which are silent."""
+
+    notices: tuple[SilenceNotice, ...]
+
+
+Message = (
+    UpdateRequest
+    | Update
+    | Offer
+    | Observations
+    | SilenceReports
+    | SilenceNotices
+)
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -16,6 +16,8 @@
     Message,
     Observations,
     Offer,
+    SilenceNotices,
+    SilenceReports,
     Update,
     UpdateRequest,
 )
@@ -28,6 +30,7 @@
 from burdocksill.readers.observations import BATCH_SECONDS, ObservationExchange
 from burdocksill.readers.protocols import LeaseStore
 from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.silence_reports import SilenceExchange
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import decode, encode_offer, encode_update_request
 
@@ -83,6 +86,8 @@
     publisher: Publisher
     read_gate: SharedReadGate
     observations: ObservationExchange
+    # None if settings don't ask for it.
+    silence: SilenceExchange | None = None
     # Set while there are observations of upstreams to send.
     observations_ready: trio.Event = attrs.field(factory=trio.Event)
     state_logger: StateLogger = attrs.field(
@@ -119,6 +124,12 @@
                 )
                 if self.observations.pending:
                     self.observations_ready.set()
+            case SilenceReports():
+                if self.silence is not None:
+                    self.silence.handle_reports(message.reports, sender)
+            case SilenceNotices():
+                if self.silence is not None:
+                    self.silence.handle_notices(message.notices, sender)
 
     def handle_offer(self, offer: Offer, sender: Address) -> None:
         """Request updates from a follower if its data is newer."""
@@ -140,6 +151,8 @@
             await self.observations_ready.wait()
             self.observations_ready = trio.Event()
             self.observations.flush()
+            if self.silence is not None:
+                self.silence.flush()
             await trio.sleep(BATCH_SECONDS)
 
     def schedule_observations(self) -> None:
--- /dev/null
+++ b/burdocksill/readers/silence_reports.py
@@ -0,0 +1,118 @@
+"""Exchange of reports about silent upstreams through the domain's reader."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import attrs
+
+from burdocksill.network.addresses import Address
+from burdocksill.network.clock import Clock
+from burdocksill.packets.outages import LOCAL_REPORTER
+from burdocksill.packets.silence import (
+    SilenceDetector,
+    SilenceJudge,
+    SilenceNotice,
+    SilenceReport,
+)
+from burdocksill.readers.messages import Reader
+from burdocksill.readers.observations import reporter_of
+from burdocksill.readers.protocols import ReaderRegistry, Sender
+from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.silence_wire import (
+    encode_silence_notices,
+    encode_silence_reports,
+)
+
+
+def ignore_waiting() -> None:
+    """Do nothing; the default callback."""
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class SilenceExchange:
+    """Send reports to the domain's reader, and its notices to all nodes.
+
+    Reports are rare and urgent, so that they are not collected.
+    """
+
+    local_node: Reader
+    domain: str
+    directory: ReaderRegistry
+    detector: SilenceDetector
+    judge: SilenceJudge
+    publisher: Publisher
+    clock: Clock
+    send: Sender
+    # Called while a decision waits; `flush` is due soon afterwards.
+    on_waiting: Callable[[], None] = ignore_waiting
+    # Reports of this node as the reader, which are judged by `flush`: they come
+    # up while a packet is handled, and a decision may end its flow.
+    own_reports: list[SilenceReport] = attrs.field(factory=list)
+    sent: int = 0
+    received: int = 0
+
+    @property
+    def reader(self) -> Reader | None:
+        """Return the reader of the own failure domain."""
+        entry = self.directory.readers.get(self.domain)
+        return None if entry is None else entry.reader
+
+    @property
+    def is_reader(self) -> bool:
+        """Return True when this node is its domain's reader."""
+        return (
+            self.reader is not None and self.reader.name == self.local_node.name
+        )
+
+    def report(self, report: SilenceReport) -> None:
+        """Report what this node has seen."""
+        if self.is_reader:
+            self.own_reports.append(report)
+            self.on_waiting()
+        elif self.reader is not None:
+            self.sent += 1
+            payload = encode_silence_reports((report,), self.clock())
+            self.send(payload, self.reader.address)
+
+    def handle_reports(
+        self, reports: Sequence[SilenceReport], sender: Address
+    ) -> None:
+        """Judge reports of a subscriber, if this node is the reader."""
+        self.received += len(reports)
+        if not self.is_reader or sender not in self.publisher.subscribers:
+            return
+        now = self.clock()
+        for report in reports:
+            self.relay(self.judge.add(report, reporter_of(sender), now))
+
+    def handle_notices(
+        self, notices: Sequence[SilenceNotice], sender: Address
+    ) -> None:
+        """Follow notices of the own reader."""
+        self.received += len(notices)
+        if self.reader is None or sender != self.reader.address:
+            return
+        for notice in notices:
+            self.detector.handle_notice(notice, self.clock())
+
+    def relay(self, notices: Iterable[SilenceNotice]) -> None:
+        """Send notices to all subscribers, and follow them here."""
+        now = self.clock()
+        relayed = list(notices)
+        if relayed:
+            payload = encode_silence_notices(relayed, now)
+            for address in self.publisher.subscribers:
+                self.sent += len(relayed)
+                self.send(payload, address)
+        for notice in relayed:
+            self.detector.handle_notice(notice, now)
+        if self.judge.waiting:
+            self.on_waiting()
+
+    def flush(self) -> None:
+        """Judge own reports, and cases that nodes had time to refute."""
+        own_reports = self.own_reports
+        self.own_reports = []
+        for report in own_reports:
+            self.relay(self.judge.add(report, LOCAL_REPORTER, self.clock()))
+        if self.judge.waiting:
+            self.relay(self.judge.decide_waiting(self.clock()))
--- a/burdocksill/readers/wire.py
+++ b/burdocksill/readers/wire.py
@@ -16,6 +16,12 @@
     UpdateRequest,
 )
 from burdocksill.readers.messages import Observation
+from burdocksill.readers.silence_wire import (
+    SILENCE_NOTICES_KIND,
+    SILENCE_REPORTS_KIND,
+    decode_silence_notices,
+    decode_silence_reports,
+)
 
 # 1, 2, 4 and 5 are reserved: older nodes use them for messages whose revisions
 # have no era, so that nodes of both kinds must not tell each other that they
@@ -82,6 +88,10 @@
         return decode_observations(payload[1:], now)
     if kind == OFFER_KIND and len(payload) == OFFER.size:
         return decode_offer(payload)
+    if kind == SILENCE_REPORTS_KIND:
+        return decode_silence_reports(payload[1:], now)
+    if kind == SILENCE_NOTICES_KIND:
+        return decode_silence_notices(payload[1:], now)
     return None
 
 
--- a/burdocksill_lab/packets/outage.py
+++ b/burdocksill_lab/packets/outage.py
@@ -92,6 +92,7 @@
     kept_flows: int = 10
     # True: callers pick idle flows at random, so that some are idle for long.
     random_reuse: bool = False
+    work_seconds: float = 0.022
     callers: list[Callers] = attrs.field(factory=list)
     peers: list[ObservationPeer] = attrs.field(factory=list)
     opened: list[OpenedFlow] = attrs.field(factory=list)
@@ -104,7 +105,7 @@
         """Start upstreams, nodes and callers, and run a calm phase."""
         for domain in self.names():
             for _ in range(self.upstreams):
-                self.world.add_upstream(domain, work_seconds=0.022)
+                self.world.add_upstream(domain, work_seconds=self.work_seconds)
         for domain in self.names():
             for _ in range(self.nodes):
                 self.world.add_node(domain)
--- a/burdocksill_lab/packets/sharing.py
+++ b/burdocksill_lab/packets/sharing.py
@@ -5,13 +5,20 @@
 import attrs
 
 from burdocksill.network.addresses import Address
+from burdocksill.packets.silence import SilenceJudge
 from burdocksill.platform.keys import READERS
 from burdocksill.platform.records import write_reader
 from burdocksill.readers.changes import ChangeLog
-from burdocksill.readers.datagrams import Observations
+from burdocksill.readers.datagrams import (
+    Message,
+    Observations,
+    SilenceNotices,
+    SilenceReports,
+)
 from burdocksill.readers.messages import Observation, Reader
 from burdocksill.readers.observations import BATCH_SECONDS, ObservationExchange
 from burdocksill.readers.publisher import Publisher, Subscriber
+from burdocksill.readers.silence_reports import SilenceExchange
 from burdocksill.readers.wire import decode
 from burdocksill_lab.packets.network import Address as SocketAddress
 from burdocksill_lab.packets.world import LabNode, PacketWorld
@@ -27,6 +34,8 @@
     node: LabNode
     world: PacketWorld
     exchange: ObservationExchange
+    # None if the node does not report silent upstreams.
+    silence: SilenceExchange | None = None
     flushed_at: float = 0
     is_scheduled: bool = False
     sent_bytes: int = 0
@@ -46,6 +55,8 @@
         self.flushed_at = self.world.timeline.now
         if self.node.alive:
             self.exchange.flush()
+            if self.silence is not None:
+                self.silence.flush()
 
     def receive(self, payload: bytes, source: SocketAddress) -> None:
         """Handle a datagram of another node."""
@@ -56,6 +67,16 @@
             )
             if self.exchange.pending:
                 self.schedule_observations()
+        elif self.silence is not None and self.node.alive:
+            self.receive_silence(message, Address(*source))
+
+    def receive_silence(self, message: Message | None, sender: Address) -> None:
+        """Handle a datagram about silent upstreams."""
+        assert self.silence is not None
+        if isinstance(message, SilenceReports):
+            self.silence.handle_reports(message.reports, sender)
+        elif isinstance(message, SilenceNotices):
+            self.silence.handle_notices(message.notices, sender)
 
     def send(self, payload: bytes, peer: Address) -> bool:
         """Send a datagram to another node."""
@@ -115,5 +136,18 @@
     )
     sender = ObservationPeer(node=node, world=world, exchange=exchange)
     core.updater.placer.outages.on_observation = sender.schedule_observations
+    if core.silence is not None:
+        sender.silence = SilenceExchange(
+            local_node=exchange.local_node,
+            domain=exchange.domain,
+            directory=exchange.directory,
+            detector=core.silence,
+            judge=SilenceJudge(upstreams=core.silence.upstreams),
+            publisher=exchange.publisher,
+            clock=world.time,
+            send=send,
+            on_waiting=sender.schedule_observations,
+        )
+        core.silence.on_report = sender.silence.report
     world.network.receivers[(address.host, PEER_PORT)] = sender.receive
     return sender
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -12,6 +12,7 @@
 
 from burdocksill.network.addresses import Address as NodeAddress
 from burdocksill.packets.core import PacketCore, make_core
+from burdocksill.packets.features import NO_FEATURES, Feature
 from burdocksill.packets.header import format_ipv4, parse_ipv4
 from burdocksill.packets.settings import PacketSettings
 from burdocksill.platform.records import (
@@ -103,6 +104,8 @@
     """Clients, routers, nodes, upstreams and store content of a simulation."""
 
     seed: int
+    # Features of the nodes that are added.
+    features: frozenset[Feature] = NO_FEATURES
     timeline: VirtualTimeline = attrs.field(factory=VirtualTimeline)
     network: DatagramNetwork = attrs.field(init=False)
     rng: Random = attrs.field(init=False)
@@ -133,6 +136,7 @@
             listen=NodeAddress(host, PORT),
             ready=NodeAddress(host, 1),
             platform=NodeAddress('10.200.0.1', 1),
+            features=self.features,
         )
         socket: Any = MemorySocket(network=self.network, address=address)
         node = LabNode(
