--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -56,6 +56,20 @@
         for direction, count in self.store_sync.observations.items():
             increase = self.count_increase('signs', direction, count)
             self.counters.add('signs', increase, direction=direction)
+        self.count_silence()
+
+    def count_silence(self) -> None:
+        """Count what nodes tell each other of silent upstreams."""
+        for direction, count in self.store_sync.silence_reports.items():
+            increase = self.count_increase('silence', direction, count)
+            self.counters.add('silence_reports', increase, direction=direction)
+        silence = self.core.silence
+        if silence is None:
+            return
+        increase = self.count_increase('silent', '', silence.confirmed)
+        self.counters.add('upstreams_silent', increase)
+        increase = self.count_increase('denied', '', silence.denied)
+        self.counters.add('silence_denied', increase)
 
     def count_increase(self, name: str, label: str, count: int) -> int:
         """Return the increase of a count since the last page."""
