--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -113,7 +113,8 @@
         """
         now = self.store_cache.clock()
         self.drain(now)
-        if self.backlogged_since or upstream.health.last_answer_at > since:
+        answered_at = self.silence.answered_at(upstream) if self.silence else 0
+        if self.backlogged_since or answered_at > since:
             return False
         upstream.health.eject(now)
         self.forwarder.reset_all(upstream, Reason.UPSTREAM_SILENT)
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -195,6 +195,7 @@
         flow.last_seen_at = now
         key = packet.flow
         if not flow.open or is_sequence_after(packet.ack, flow.ack):
+            self.report_answer(packet, flow, now, gap)
             self.handle_acknowledgement(flow, packet, now)
         if packet.length:
             self.handle_data(
@@ -207,6 +208,27 @@
         if packet.flags & (FIN | RST):
             self.end(key)
 
+    def report_answer(
+        self,
+        packet: Packet,
+        flow: TrackedFlow,
+        now: float,
+        gap: float,
+    ) -> None:
+        """Report new data of the upstream, if nodes share such evidence.
+
+        An acknowledgement that comes with data may be as old as the packet
+        before: the client may have waited with it for its next request.
+        """
+        if self.silence is not None:
+            is_old = flow.open and packet.length
+            self.silence.record_answer(
+                flow.upstream,
+                flow.unanswered_since,
+                now - gap if is_old else now,
+                now,
+            )
+
     def handle_acknowledgement(
         self,
         flow: TrackedFlow,
@@ -217,13 +239,10 @@
         health = flow.upstream.health
         if flow.unanswered_since:
             self.record_answer_time(flow, packet, now)
-        sent_at = flow.unanswered_since
         flow.open = True
         flow.ack = packet.ack
         self.end_wait(flow)
         health.record_answer(now)
-        if self.silence is not None:
-            self.silence.record_answer(flow.upstream, sent_at, now)
 
     def record_answer_time(
         self,
--- a/burdocksill/packets/silence.py
+++ b/burdocksill/packets/silence.py
@@ -36,8 +36,8 @@
 # Time that nodes have to report an answer after the reader asked.
 DEFENCE_SECONDS: Final = 0.03
 ASK_INTERVAL_SECONDS: Final = 0.5
-# A node reports answers for this long after it was asked.
-ASKED_SECONDS: Final = 1.0
+# Questions and answers that are older than this are forgotten.
+ASKED_SECONDS: Final = 3.0
 # Older reports say nothing about the upstream now. A second retransmission
 # comes up to 0.4 s after the first, from which its report counts.
 REPORT_SECONDS: Final = 1.5
@@ -159,6 +159,7 @@
     """
 
     __slots__ = (
+        'answered',
         'asked',
         'bucket',
         'confirmed',
@@ -174,8 +175,11 @@
     def __init__(self, *, upstreams: UpstreamRegistry) -> None:
         """Start without evidence."""
         self.upstreams = upstreams
-        # Until when answers of an upstream are reported.
-        self.asked: dict[KnownUpstream, float] = {}
+        # When each upstream answered last. Its health counts when a client was
+        # seen to acknowledge, which may be much later.
+        self.answered: dict[KnownUpstream, float] = {}
+        # Questions of the reader that no answer has settled yet.
+        self.asked: dict[KnownUpstream, SilenceNotice] = {}
         self.bucket = TokenBucket(REPORTS_PER_SECOND)
         self.held: list[HeldReport] = []
         # When the last answered request was sent, by failure domain.
@@ -232,7 +236,7 @@
         now: float,
     ) -> None:
         """Report evidence, or hold it until another upstream has answered."""
-        if upstream.health.last_answer_at > at or not upstream.is_registered:
+        if self.answered_at(upstream) > at or not upstream.is_registered:
             return
         held = HeldReport(
             report=SilenceReport(
@@ -259,23 +263,32 @@
         self,
         upstream: KnownUpstream,
         sent_at: float,
+        answered_at: float,
         now: float,
     ) -> None:
         """Record an answer to a request of `sent_at`, 0 if it is unknown."""
+        if answered_at > self.answered_at(upstream):
+            self.answered[upstream] = answered_at
         domain = upstream.record.domain
         if sent_at > self.proven_at.get(domain, 0):
             self.proven_at[domain] = sent_at
             if self.held:
                 self.release(now)
-        if self.asked and self.asked.pop(upstream, 0) > now:
+        question = self.asked.get(upstream)
+        if question is not None and is_refuted(question.at, answered_at):
+            del self.asked[upstream]
             self.deny(upstream)
 
+    def answered_at(self, upstream: KnownUpstream) -> float:
+        """Return when an upstream answered last, as this node sees it."""
+        return self.answered.get(upstream, float('-inf'))
+
     def release(self, now: float) -> None:
         """Report held evidence that is proven now; drop what is old."""
         kept: list[HeldReport] = []
         for held in self.held:
             report = held.report
-            answered_at = held.upstream.health.last_answer_at
+            answered_at = self.answered_at(held.upstream)
             if answered_at > report.at or now - report.at > REPORT_SECONDS:
                 continue
             if self.is_proven(held):
@@ -297,29 +310,32 @@
             SilenceReport(
                 echo=upstream.echo,
                 evidence=Evidence.ANSWERED,
-                at=upstream.health.last_answer_at,
+                at=self.answered_at(upstream),
             )
         )
 
-    def handle_notice(self, notice: SilenceNotice, now: float) -> None:
+    def handle_notice(self, notice: SilenceNotice) -> None:
         """Answer a question of the reader, or end the flows of an upstream."""
         upstream = self.upstreams.by_echo.get(notice.echo)
         if upstream is None:
             return
-        is_known_to_live = is_refuted(notice.at, upstream.health.last_answer_at)
+        is_known_to_live = is_refuted(notice.at, self.answered_at(upstream))
         if notice.is_confirmed and not is_known_to_live:
             is_known_to_live = not self.on_confirmed(upstream, notice.at)
             self.confirmed += not is_known_to_live
         if is_known_to_live:
             self.deny(upstream)
         elif not notice.is_confirmed:
-            self.asked[upstream] = now + ASKED_SECONDS
+            self.asked[upstream] = notice
 
     def expire(self, now: float) -> None:
         """Drop questions and evidence that are too old."""
-        for upstream, until in list(self.asked.items()):
-            if until <= now:
+        for upstream, question in list(self.asked.items()):
+            if now - question.at > ASKED_SECONDS:
                 del self.asked[upstream]
+        for upstream, at in list(self.answered.items()):
+            if now - at > ASKED_SECONDS:
+                del self.answered[upstream]
         self.held = [
             held for held in self.held if now - held.report.at <= REPORT_SECONDS
         ]
--- a/burdocksill/readers/silence_reports.py
+++ b/burdocksill/readers/silence_reports.py
@@ -92,7 +92,7 @@
         if self.reader is None or sender != self.reader.address:
             return
         for notice in notices:
-            self.detector.handle_notice(notice, self.clock())
+            self.detector.handle_notice(notice)
 
     def relay(self, notices: Iterable[SilenceNotice]) -> None:
         """Send notices to all subscribers, and follow them here."""
@@ -104,7 +104,7 @@
                 self.sent += len(relayed)
                 self.send(payload, address)
         for notice in relayed:
-            self.detector.handle_notice(notice, now)
+            self.detector.handle_notice(notice)
         if self.judge.waiting:
             self.on_waiting()
 
--- a/tests/packets/silence.feature
+++ b/tests/packets/silence.feature
@@ -79,6 +79,18 @@
       | 600  | one of 100 packets is lost                               |
       | 600  | the reader pauses each 0.9 s while a node lies           |
 
+  Scenario Outline: An acknowledgement counts from when its answer came
+    Guards against idle flows whose next request acknowledges what their
+    upstream sent before it fell silent.
+    Given a node that forwarded a request 5 s ago
+    When its client acknowledges the answer now <how>
+    Then the node denies a silence since 1 s <times> times
+
+    Examples:
+      | how                   | times |
+      | by itself             | 1     |
+      | with its next request | 0     |
+
   Scenario Outline: One or two nodes, or only openings, prove nothing
     Guards against a faulty node, and against a full upstream that ignores
     openings.
--- a/tests/steps/packets_silence.py
+++ b/tests/steps/packets_silence.py
@@ -9,9 +9,22 @@
 from behave.runner import Context
 
 from burdocksill.packets.features import NO_FEATURES, Feature
-from burdocksill.packets.header import format_ipv4
+from burdocksill.packets.flows import FlowTable
+from burdocksill.packets.header import (
+    ACK,
+    HEADER,
+    Packet,
+    format_ipv4,
+    read_packet,
+)
 from burdocksill.packets.messages import UpstreamRecord, UpstreamState
-from burdocksill.packets.silence import Evidence, SilenceJudge, SilenceReport
+from burdocksill.packets.silence import (
+    Evidence,
+    SilenceDetector,
+    SilenceJudge,
+    SilenceNotice,
+    SilenceReport,
+)
 from burdocksill.packets.upstreams import UpstreamRegistry
 from burdocksill_lab.packets.outage import OutageDeployment
 from burdocksill_lab.packets.sharing import PEER_PORT
@@ -445,3 +458,45 @@
 def check_not_silent(context: Context) -> None:
     """Check that no node is told so of any upstream."""
     assert not context.confirmed, context.confirmed
+
+
+def make_packet(seq: int, ack: int, length: int) -> Packet:
+    """Return a packet of the client of the scenario's flow."""
+    head = HEADER.pack(length, 1, seq, ack, 7, ROUTE_PORT, 8, 9, 0, ACK)
+    packet = read_packet(head + bytes(length))
+    assert packet is not None
+    return packet
+
+
+@given('a node that forwarded a request 5 s ago')
+def forward_request(context: Context) -> None:
+    """Track a flow with one request."""
+    upstreams = UpstreamRegistry()
+    upstreams.register(make_record(1), NOW - 10)
+    context.detector = SilenceDetector(upstreams=upstreams)
+    context.reported = []
+    context.detector.on_report = context.reported.append
+    context.flow_table = FlowTable(silence=context.detector)
+    request = make_packet(seq=100, ack=500, length=10)
+    flow = context.flow_table.start(request.flow, upstreams.by_echo[1], NOW - 6)
+    flow.open = True
+    flow.ack = 500
+    context.flow_table.observe(request, flow, NOW - 5)
+
+
+@when('its client acknowledges the answer now {how}')
+def acknowledge(context: Context, how: str) -> None:
+    """Handle the next packet of the client."""
+    length = 10 if 'request' in how else 0
+    packet = make_packet(seq=110, ack=600, length=length)
+    flow = context.flow_table.find(packet.flow)
+    context.flow_table.observe(packet, flow, NOW)
+
+
+@then('the node denies a silence since 1 s {times:d} times')
+def check_denials(context: Context, times: int) -> None:
+    """Ask the node for answers of the upstream."""
+    context.detector.handle_notice(
+        SilenceNotice(echo=1, at=NOW - 1, is_confirmed=False)
+    )
+    assert len(context.reported) == times, context.reported
