Check silence datagrams among the corrupt ones

The check listed the valid kinds of messages, and failed for the new ones. It now checks their numbers of entries, times and evidence as it does for the others.

--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 
 from burdocksill.network.addresses import Address
+from burdocksill.packets.silence import Evidence
 from burdocksill.packets.store_cache import StoreCache
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.platform.protocols import SwapResult
@@ -21,11 +22,14 @@
 from burdocksill.readers.datagrams import (
     Observations,
     Offer,
+    SilenceNotices,
+    SilenceReports,
     Update,
     UpdateRequest,
 )
 from burdocksill.readers.election import ReaderElection
 from burdocksill.readers.messages import Observation, Reader, ReaderEntry
+from burdocksill.readers.silence_wire import MAX_ENTRIES
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import (
     MAX_OBSERVATIONS,
@@ -130,6 +134,15 @@
             )
         elif isinstance(message, Offer):
             assert message.age >= 0
+        elif isinstance(message, SilenceReports):
+            assert 0 < len(message.reports) <= MAX_ENTRIES
+            assert all(
+                report.at <= 0 and isinstance(report.evidence, Evidence)
+                for report in message.reports
+            )
+        elif isinstance(message, SilenceNotices):
+            assert 0 < len(message.notices) <= MAX_ENTRIES
+            assert all(notice.at <= 0 for notice in message.notices)
         else:
             assert message is None or isinstance(message, UpdateRequest)
 
