--- a/tests/steps/packets_admission.py
+++ b/tests/steps/packets_admission.py
@@ -250,6 +250,7 @@
                 received_bytes=0,
                 truncated=0,
                 observations={},
+                silence_reports={},
             ),
         ).render(world.timeline.now)
         for node in world.nodes
