--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -19,9 +19,10 @@
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.settings import PacketSettings
+from burdocksill.packets.silence import SilenceDetector
 from burdocksill.packets.store_cache import StoreCache, SyncProgress
 from burdocksill.packets.updater import Decoder, StateUpdater
-from burdocksill.packets.upstreams import UpstreamRegistry
+from burdocksill.packets.upstreams import KnownUpstream, UpstreamRegistry
 from burdocksill.packets.verdicts import Drop, Forward, Reason, Reset
 
 TYPE_CHECKING = False
@@ -64,6 +65,13 @@
         self.last_packet_at: float = float('-inf')
         # Since when the socket has not been empty; 0 while it is.
         self.backlogged_since: float = 0
+        if self.silence is not None:
+            self.silence.on_confirmed = self.end_silent
+
+    @property
+    def silence(self) -> SilenceDetector | None:
+        """Return what shares evidence of silent upstreams; None if unused."""
+        return self.forwarder.flows.silence
 
     @property
     def updater(self) -> StateUpdater:
@@ -101,6 +109,22 @@
         if missed:
             self.counts[Reason.OPENING_MISSED.value] += missed
 
+    def end_silent(self, upstream: KnownUpstream, since: float) -> bool:
+        """Reset the flows of an upstream that other nodes found silent.
+
+        Return False if packets that wait in the socket show an answer, or may
+        show one.
+        """
+        now = self.store_cache.clock()
+        self.drain(now)
+        answered_at = self.silence.answered_at(upstream) if self.silence else 0
+        if self.backlogged_since or answered_at > since:
+            return False
+        upstream.health.eject(now)
+        self.forwarder.reset_all(upstream, Reason.UPSTREAM_SILENT)
+        self.send_pending_resets()
+        return True
+
     def seconds_until_due(self, now: float) -> float:
         """Return the seconds until `expire_openings` has something to do."""
         if self.updater.upstreams.replaced or self.updater.upstreams.expired:
@@ -143,6 +167,8 @@
         """Expire idle flows, old upstreams, suspicions and deferrals."""
         self.updater.upstreams.remove_expired(now)
         self.updater.placer.outages.expire_suspicions(now)
+        if self.silence is not None:
+            self.silence.expire(now)
         self.updater.apply_deferred(now, now - self.progress.age())
         manifest = self.updater.table.manifest
         if manifest is not None:
@@ -167,7 +193,10 @@
         FairShareLimiter if is_fair else ConcurrencyLimiter
     )
     progress = SyncProgress(clock=age_clock)
-    flows = FlowTable(table=table)
+    silence = None
+    if Feature.SILENCE_REPORTS in settings.features:
+        silence = SilenceDetector(upstreams=upstreams)
+    flows = FlowTable(table=table, silence=silence)
     load_table = None
     if Feature.LOAD_REPORTS in settings.features:
         flows.local_load = LocalLoad(flows)
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -19,6 +19,7 @@
     sequence_distance,
 )
 from burdocksill.packets.routing import RoutingTable
+from burdocksill.packets.silence import SilenceDetector
 from burdocksill.packets.upstreams import KnownUpstream
 
 TYPE_CHECKING = False
@@ -49,6 +50,7 @@
         'last_seen_at',
         'objective_seconds',
         'open',
+        'repeated_at',
         'retransmitted',
         'seq',
         'unanswered_since',
@@ -79,6 +81,8 @@
         self.unanswered_since: float = 0
         self.open = False
         self.retransmitted = False
+        # When unanswered data was first sent again; 0 if it was not.
+        self.repeated_at: float = 0
 
 
 class FlowTable:
@@ -90,6 +94,7 @@
         'is_backlogged',
         'limit',
         'local_load',
+        'silence',
         'table',
     )
 
@@ -98,8 +103,9 @@
         *,
         limit: int = MAX_FLOWS,
         table: RoutingTable | None = None,
+        silence: SilenceDetector | None = None,
     ) -> None:
-        """Store the limit and the routing table, and start without flows."""
+        """Store the arguments and start without flows."""
         self.limit = limit
         self.flows: dict[FlowKey, TrackedFlow] = {}
         # True while packets wait long in the socket, so that retransmissions
@@ -109,6 +115,8 @@
         self.local_load: LocalLoad | None = None
         # Holds the objectives of the routes.
         self.table: RoutingTable = RoutingTable() if table is None else table
+        # Shares evidence with other nodes; None if settings don't ask for it.
+        self.silence = silence
         # Service and seconds of answers that the metrics have not read yet.
         self.answer_times: deque[tuple[str, float]] = deque(
             maxlen=MAX_ANSWER_TIMES
@@ -197,6 +205,7 @@
         flow.last_seen_at = now
         key = packet.flow
         if not flow.open or is_sequence_after(packet.ack, flow.ack):
+            self.report_answer(packet, flow, now, gap)
             self.handle_acknowledgement(flow, packet, now)
         if packet.length:
             self.handle_data(
@@ -209,6 +218,27 @@
         if packet.flags & (FIN | RST):
             self.end(key)
 
+    def report_answer(
+        self,
+        packet: Packet,
+        flow: TrackedFlow,
+        now: float,
+        gap: float,
+    ) -> None:
+        """Report new data of the upstream, if nodes share such evidence.
+
+        An acknowledgement that comes with data may be as old as the packet
+        before: the client may have waited with it for its next request.
+        """
+        if self.silence is not None:
+            is_old = flow.open and packet.length
+            self.silence.record_answer(
+                flow.upstream,
+                flow.unanswered_since,
+                now - gap if is_old else now,
+                now,
+            )
+
     def handle_acknowledgement(
         self,
         flow: TrackedFlow,
@@ -271,6 +301,7 @@
         if packet.seq != flow.seq:
             flow.seq = packet.seq
             flow.retransmitted = False
+            flow.repeated_at = 0
             if not flow.unanswered_since:
                 flow.unanswered_since = now
                 flow.upstream.begin_request(flow.endpoint, now)
@@ -282,3 +313,21 @@
                     packet.flow,
                     flow.unanswered_since,
                 )
+                self.report_repeat(packet, flow, now)
+
+    def report_repeat(
+        self,
+        packet: Packet,
+        flow: TrackedFlow,
+        now: float,
+    ) -> None:
+        """Report retransmitted data, if nodes share such evidence."""
+        flow.repeated_at = flow.repeated_at or now
+        if self.silence is not None:
+            self.silence.record_repeat(
+                flow.upstream,
+                packet.client,
+                flow.unanswered_since,
+                flow.repeated_at,
+                now,
+            )
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -61,6 +61,7 @@
         for direction, count in self.store_sync.load_rows.items():
             increase = self.count_increase('load_rows', direction, count)
             self.counters.add('load_rows', increase, direction=direction)
+        self.count_silence()
 
     def count_spilled(self) -> None:
         """Count new flows that left the own domain for lack of room."""
@@ -74,6 +75,19 @@
                 'spilled', increase, service=service, domain=domain
             )
 
+    def count_silence(self) -> None:
+        """Count what nodes tell each other of silent upstreams."""
+        for direction, count in self.store_sync.silence_reports.items():
+            increase = self.count_increase('silence', direction, count)
+            self.counters.add('silence_reports', increase, direction=direction)
+        silence = self.core.silence
+        if silence is None:
+            return
+        increase = self.count_increase('silent', '', silence.confirmed)
+        self.counters.add('upstreams_silent', increase)
+        increase = self.count_increase('denied', '', silence.denied)
+        self.counters.add('silence_denied', increase)
+
     def count_increase(self, name: str, label: str, count: int) -> int:
         """Return the increase of a count since the last page."""
         before = self.last_counts.get((name, label), 0)
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -16,6 +16,8 @@
     Message,
     Observations,
     Offer,
+    SilenceNotices,
+    SilenceReports,
     Update,
     UpdateRequest,
 )
@@ -30,6 +32,7 @@
 from burdocksill.readers.observations import BATCH_SECONDS, ObservationExchange
 from burdocksill.readers.protocols import LeaseStore
 from burdocksill.readers.publisher import Publisher
+from burdocksill.readers.silence_reports import SilenceExchange
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import decode, encode_offer, encode_update_request
 
@@ -87,6 +90,8 @@
     observations: ObservationExchange
     # None where nodes do not report their load.
     loads: LoadExchange | None = None
+    # None if settings don't ask for it.
+    silence: SilenceExchange | None = None
     # Set while there are observations of upstreams to send.
     observations_ready: trio.Event = attrs.field(factory=trio.Event)
     state_logger: StateLogger = attrs.field(
@@ -126,6 +131,9 @@
             case LoadReport() | LoadSummary():
                 if self.loads is not None:
                     self.loads.handle(message, sender)
+            case SilenceReports() | SilenceNotices():
+                if self.silence is not None:
+                    self.silence.handle(message, sender)
 
     def handle_offer(self, offer: Offer, sender: Address) -> None:
         """Request updates from a follower if its data is newer."""
@@ -147,6 +155,8 @@
             await self.observations_ready.wait()
             self.observations_ready = trio.Event()
             self.observations.flush()
+            if self.silence is not None:
+                self.silence.flush()
             await trio.sleep(BATCH_SECONDS)
 
     def schedule_observations(self) -> None:
--- a/tests/steps/packets_admission.py
+++ b/tests/steps/packets_admission.py
@@ -251,6 +251,7 @@
                 truncated=0,
                 observations={},
                 load_rows={},
+                silence_reports={},
             ),
         ).render(world.timeline.now)
         for node in world.nodes
--- a/tests/steps/packets_spillover.py
+++ b/tests/steps/packets_spillover.py
@@ -190,6 +190,7 @@
         truncated=0,
         observations={},
         load_rows={},
+        silence_reports={},
     )
     pages = [
         MetricsPage(core=node.core, store_sync=store_sync).render(
