--- a/burdocksill/packets/features.py
+++ b/burdocksill/packets/features.py
@@ -18,6 +18,7 @@
 # replaces the choice of the settings file.
 VARIABLE: Final = 'BURDOCKSILL_FEATURES'
 NONE: Final = 'none'
+ALL: Final = 'all'
 
 
 class Feature(enum.Enum):
@@ -43,12 +44,14 @@
 
 def parse_features(text: str) -> frozenset[Feature]:
     """Return the named features; raise SettingChoiceError for unknown ones."""
+    if text.strip() == ALL:
+        return ALL_FEATURES
     names = {name.strip() for name in text.split(',')} - {'', NONE}
     known = {feature.value: feature for feature in Feature}
     unknown = sorted(names - set(known))
     if unknown:
         raise SettingChoiceError(
             message=f'{VARIABLE} names {", ".join(unknown)}',
-            hint=f'{NONE}, or any of {", ".join(known)}',
+            hint=f'{NONE}, {ALL}, or any of {", ".join(known)}',
         )
     return frozenset(known[name] for name in names)
--- a/burdocksill_lab/commands/soak.py
+++ b/burdocksill_lab/commands/soak.py
@@ -8,6 +8,8 @@
 import attrs
 import click
 
+from burdocksill.conf.exceptions import SettingChoiceError
+from burdocksill.packets.features import NONE, parse_features
 from burdocksill_lab.soak.broken import SAFEGUARDS
 from burdocksill_lab.soak.deployment import SoakSize
 from burdocksill_lab.soak.run import SoakReport, SoakSettings, play
@@ -63,6 +65,12 @@
     is_flag=True,
     help='Restore the store from a copy in each round.',
 )
+@click.option(
+    '--features',
+    default=NONE,
+    show_default=True,
+    help='Features of the nodes: none, all or names with commas.',
+)
 @click.option('--logs', type=click.Path(path_type=Path), help='Keep logs here.')
 @click.option('--json', 'as_json', is_flag=True, help='Write a JSON object.')
 def soak(
@@ -75,6 +83,7 @@
     routes: int,
     link: int,
     restores: bool,
+    features: str,
     logs: Path | None,
     as_json: bool,
 ) -> None:
@@ -86,6 +95,10 @@
     \b
     Exit codes: 0 every promise held, 1 one was broken.
     """
+    try:
+        parse_features(features)
+    except SettingChoiceError as error:
+        raise click.BadParameter(str(error)) from error
     report = play(
         SoakSettings(
             seed=seed,
@@ -95,6 +108,7 @@
             without=without,
             logs=logs,
             restores=restores,
+            features=features,
             size=SoakSize(
                 idle_routes=routes,
                 link_bytes_per_second=link * KILOBYTE,
--- a/burdocksill_lab/packets/loopback.py
+++ b/burdocksill_lab/packets/loopback.py
@@ -13,6 +13,8 @@
 import attrs
 import trio
 
+from burdocksill.packets.features import NONE
+from burdocksill.packets.features import VARIABLE as FEATURES_VARIABLE
 from burdocksill.packets.header import parse_ipv4
 from burdocksill.platform.early import VARIABLE
 from burdocksill_lab.packets.client import ClientFlow, Outcome, deliver_to_flow
@@ -106,6 +108,8 @@
     domain: str = 'a'
     # Module to run, with arguments; control runs use a faulty variant.
     command: tuple[str, ...] = ('burdocksill.packets',)
+    # Features that the node is told to use, instead of those of its settings.
+    features: str = NONE
     process: subprocess.Popen[bytes] | None = None
     misses: int = 0
     # Number of successful probes.
@@ -123,7 +127,11 @@
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', *self.command],
-                env={**os.environ, VARIABLE: str(settings)},
+                env={
+                    **os.environ,
+                    VARIABLE: str(settings),
+                    FEATURES_VARIABLE: self.features,
+                },
                 stdout=log,
                 stderr=log,
             )
--- a/burdocksill_lab/soak/deployment.py
+++ b/burdocksill_lab/soak/deployment.py
@@ -83,6 +83,7 @@
     rng: Random
     checker: SoakChecker
     command: tuple[str, ...]
+    features: str
     size: SoakSize
     store: LabStore = attrs.field(factory=LabStore)
     # The latest copy of the store.
@@ -142,6 +143,7 @@
             store=await self.listen(f'127.13.0.{number + 1}', proxy.serve),
             domain=DOMAINS[number % len(DOMAINS)],
             command=self.command,
+            features=self.features,
             misses=UNHEALTHY_THRESHOLD,
         )
         self.nodes.append(SoakNode(process=process, proxy=proxy))
--- a/burdocksill_lab/soak/run.py
+++ b/burdocksill_lab/soak/run.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from burdocksill.packets.features import NONE
 from burdocksill_lab.packets.world import ROUTE_PORT
 from burdocksill_lab.processes import free_port
 from burdocksill_lab.soak.checker import SoakChecker, Violation
@@ -55,6 +56,8 @@
     size: SoakSize = SoakSize()
     # True to restore the store from a copy in each round.
     restores: bool = False
+    # Features of the nodes, as in their environment variable.
+    features: str = NONE
 
     @property
     def rounds(self) -> int:
@@ -115,6 +118,7 @@
             rng=Random(settings.seed),
             checker=checker,
             command=settings.command,
+            features=settings.features,
             size=settings.size,
         )
         injector = FaultInjector(deployment=deployment)
--- a/tests/platform/node_file.feature
+++ b/tests/platform/node_file.feature
@@ -19,6 +19,7 @@
     Examples:
       | text                           | features                     |
       | none                           | none                         |
+      | all                            | all                          |
       | load-reports                   | load-reports                 |
       | fair-admission , load-reports  | fair-admission, load-reports |
 
--- a/tests/steps/lab_soak.py
+++ b/tests/steps/lab_soak.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from burdocksill.packets.features import ALL
 from burdocksill.packets.header import HEADER, SYN, Packet, parse_ipv4
 from burdocksill_lab.packets.client import ClientFlow, Outcome, Request
 from burdocksill_lab.packets.network import DatagramNetwork, VirtualTimeline
@@ -64,6 +65,19 @@
     )
 
 
+@when(
+    'a soak of seed {seed:d} with all features '
+    'runs for {minutes:f} minutes with {nodes:d} nodes'
+)
+def run_features(
+    context: Context, seed: int, minutes: float, nodes: int
+) -> None:
+    """Run a soak of nodes that tell each other of loads and silence."""
+    context.report = play(
+        SoakSettings(seed=seed, minutes=minutes, nodes=nodes, features=ALL)
+    )
+
+
 @then('both are the same')
 def check_plans(context: Context) -> None:
     """Compare the two plans."""
