--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -16,6 +16,7 @@
 from burdocksill.packets.header import LARGEST_PACKET
 from burdocksill.packets.load_table import LoadTable
 from burdocksill.packets.local_load import LocalLoad
+from burdocksill.packets.outliers import OutlierDetector
 from burdocksill.packets.placement import PacketPlacer
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.settings import PacketSettings
@@ -214,6 +215,17 @@
         features=settings.features,
         spillover_start=settings.spillover_start,
     )
+    if (
+        flows.local_load is not None
+        and Feature.OUTLIER_EJECTION in settings.features
+    ):
+        placer.outliers = OutlierDetector(
+            domain=settings.domain,
+            load_view=placer.load_view,
+            local_load=flows.local_load,
+            upstreams=upstreams,
+            rng=rng,
+        )
     return PacketCore(
         datagrams=datagrams,
         forwarder=Forwarder(
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -264,7 +264,9 @@
         seconds = now - flow.unanswered_since
         size = sequence_distance(packet.ack, flow.ack)
         if self.local_load is not None:
-            self.local_load.record_answer(flow.upstream, seconds, size, now)
+            self.local_load.record_answer(
+                flow.upstream, seconds, size, now, flow.endpoint
+            )
         flow.upstream.limiter.record_answer(
             AnswerSample(
                 seconds=seconds,
--- a/burdocksill/packets/load_table.py
+++ b/burdocksill/packets/load_table.py
@@ -218,6 +218,12 @@
             return None
         return self.groups.get(ALL_NODES)
 
+    def domain_nodes(self, domain: str, now: float) -> int | None:
+        """Return the number of nodes of a domain; None if unknown."""
+        if not self.is_current(now):
+            return None
+        return self.groups.get(domain_number(domain))
+
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Count a new flow until a summary includes it."""
         self.placed.remove_until(now - MAX_AGE_SECONDS)
--- a/burdocksill/packets/local_load.py
+++ b/burdocksill/packets/local_load.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-import math
+from collections import deque
 
+from burdocksill.packets.admission import NO_ENDPOINT
+from burdocksill.packets.fair_share import DecayingRate
 from burdocksill.readers.load_messages import UpstreamLoad, group_number
 
 TYPE_CHECKING = False
@@ -17,67 +19,171 @@
 # move a flow, the node before keeps it in its table for longer, and it would be
 # counted twice.
 ACTIVE_SECONDS: Final = 3.0
-# Smoothing factor of answer times, and the time over which errors are averaged.
-ANSWER_SMOOTHING: Final = 0.2
-ERROR_WINDOW_SECONDS: Final = 2.0
-# Answer times older than this are not reported.
+# Bounds the memory for each upstream.
+MAX_TIMES: Final = 16
+# Time over which errors and answers are averaged.
+RATE_SECONDS: Final = 2.0
+# The least answer time of at most this many seconds is reported. Of requests of
+# different sizes it shows best how quick an upstream is.
+ANSWER_SECONDS: Final = 1.2
+# An answer shorter than this fraction of the route's usual size is an error.
+ERROR_SIZE_FRACTION: Final = 0.5
+SIZE_SMOOTHING: Final = 0.02
+# Step of the moving medians of answer times.
+MEDIAN_STEP: Final = 1.05
+# Answers older than this are forgotten.
 ANSWER_LIFE_SECONDS: Final = 5.0
 
 
-class RecentAnswers:
-    """Hold the recent answer time and rate of errors of one upstream."""
+class MovingMedian:
+    """Follow the median of answer times."""
 
-    __slots__ = ('answered_at', 'error_at', 'error_rate', 'seconds')
+    __slots__ = ('seconds',)
 
     def __init__(self) -> None:
         """Start without answers."""
         self.seconds: float = 0
-        self.answered_at = float('-inf')
-        self.error_rate: float = 0
-        self.error_at: float = 0
-
-    def record(self, seconds: float, now: float, *, is_short: bool) -> None:
-        """Record one answer; a short one counts as an error."""
-        if is_short:
-            self.error_rate = self.errors_per_second(now)
-            self.error_rate += 1 / ERROR_WINDOW_SECONDS
-            self.error_at = now
-            return
-        weight = ANSWER_SMOOTHING if self.is_recent(now) else 1
-        self.seconds += (seconds - self.seconds) * weight
-        self.answered_at = now
-
-    def errors_per_second(self, now: float) -> float:
-        """Return the rate of errors, which decays exponentially."""
-        elapsed = now - self.error_at
-        return self.error_rate * math.exp(-elapsed / ERROR_WINDOW_SECONDS)
-
-    def answer_seconds(self, now: float) -> float:
-        """Return the recent answer time, 0 if there is none."""
-        return self.seconds if self.is_recent(now) else 0
+
+    def record(self, seconds: float) -> None:
+        """Move towards an answer time by one step."""
+        if not self.seconds:
+            self.seconds = seconds
+        elif seconds > self.seconds:
+            self.seconds *= MEDIAN_STEP
+        else:
+            self.seconds /= MEDIAN_STEP
+
+
+class RouteAnswers:
+    """Hold the usual size and time of a route's answers."""
+
+    __slots__ = ('answers', 'size', 'times')
+
+    def __init__(self, size: float) -> None:
+        """Start with the usual size of the service."""
+        self.answers: int = 1 if size else 0
+        self.size = size
+        self.times = MovingMedian()
+
+    def record(self, seconds: float, size: int) -> bool:
+        """Record one answer; return True if it is an error."""
+        is_error = size < self.size * ERROR_SIZE_FRACTION
+        self.answers += 1
+        weight = max(SIZE_SMOOTHING, 1 / self.answers)
+        self.size += (size - self.size) * weight
+        if not is_error:
+            self.times.record(seconds)
+        return is_error
+
+
+class ServiceAnswers:
+    """Hold the usual answers of a service, and of its routes."""
+
+    __slots__ = ('rate', 'routes', 'times')
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self.times = MovingMedian()
+        self.rate = DecayingRate(RATE_SECONDS)
+        # By address and port.
+        self.routes: dict[tuple[int, int], RouteAnswers] = {}
+
+    def record(
+        self,
+        endpoint: tuple[int, int],
+        seconds: float,
+        size: int,
+        usual_size: float,
+        now: float,
+    ) -> float:
+        """Record one answer; return its time, 0 for an error.
+
+        The times of all routes are made alike, so that it does not matter which
+        upstream got the requests of which route.
+        """
+        self.rate.count(now)
+        route = self.routes.setdefault(endpoint, RouteAnswers(usual_size))
+        if route.record(seconds, size):
+            return 0
+        self.times.record(seconds)
+        return seconds * self.times.seconds / route.times.seconds
+
+
+class RecentAnswers:
+    """Hold the recent answer times and rate of errors of one upstream."""
+
+    __slots__ = ('errors', 'latest_at', 'times', 'upstream')
+
+    def __init__(self, upstream: KnownUpstream) -> None:
+        """Store the upstream and start without answers."""
+        self.upstream = upstream
+        self.errors = DecayingRate(RATE_SECONDS)
+        self.latest_at = float('-inf')
+        # Time of each answer, and how long it took.
+        self.times: deque[tuple[float, float]] = deque(maxlen=MAX_TIMES)
+
+    def record(self, seconds: float, now: float) -> None:
+        """Record the time of one answer, 0 for an error."""
+        self.latest_at = now
+        if seconds:
+            self.times.append((now, seconds))
+        else:
+            self.errors.count(now)
 
     def is_recent(self, now: float) -> bool:
-        """Return True when the answer time is of the last seconds."""
-        return now - self.answered_at <= ANSWER_LIFE_SECONDS
+        """Return True when the last answer is reported."""
+        return now - self.latest_at <= ANSWER_SECONDS
+
+    def answer_seconds(self, now: float, within: float) -> float:
+        """Return the least recent answer time, 0 if there is none."""
+        return min(
+            (seconds for at, seconds in self.times if now - at <= within),
+            default=0,
+        )
 
 
 class LocalLoad:
     """Sum this node's flows and answers for each upstream."""
 
-    __slots__ = ('answers', 'flows')
+    __slots__ = ('answers', 'flows', 'services')
 
     def __init__(self, flows: FlowTable) -> None:
         """Store the flows and start without answers."""
         self.flows = flows
         self.answers: dict[int, RecentAnswers] = {}
+        self.services: dict[str, ServiceAnswers] = {}
 
     def record_answer(
-        self, upstream: KnownUpstream, seconds: float, size: int, now: float
+        self,
+        upstream: KnownUpstream,
+        seconds: float,
+        size: int,
+        now: float,
+        endpoint: tuple[int, int] = NO_ENDPOINT,
     ) -> None:
         """Record an answer; a much shorter one than usual is an error."""
-        is_short = upstream.limiter.is_short(size)
-        answers = self.answers.setdefault(upstream.echo, RecentAnswers())
-        answers.record(seconds, now, is_short=is_short)
+        service = self.services.setdefault(
+            upstream.record.service, ServiceAnswers()
+        )
+        found = service.record(
+            endpoint, seconds, size, upstream.limiter.usual_size, now
+        )
+        answers = self.answers.setdefault(
+            upstream.echo, RecentAnswers(upstream)
+        )
+        answers.record(found, now)
+
+    def latest_seconds(self, upstream: KnownUpstream, now: float) -> float:
+        """Return this node's last answer time of an upstream, 0 if none."""
+        answers = self.answers.get(upstream.echo)
+        if answers is None:
+            return 0
+        return answers.answer_seconds(now, ANSWER_LIFE_SECONDS)
+
+    def answers_per_second(self, service: str, now: float) -> float:
+        """Return the rate of a service's answers that this node sees."""
+        answers = self.services.get(service)
+        return answers.rate.at(now) if answers else 0
 
     def collect(
         self, domain: str, now: float
@@ -96,6 +202,7 @@
                 if flow.unanswered_since:
                     waiting[upstream] = waiting.get(upstream, 0) + 1
         self.remove_old_answers(now)
+        self.add_answered(flows, now)
         rows = [
             self.row(upstream, count, waiting.get(upstream, 0), now)
             for upstream, count in flows.items()
@@ -103,24 +210,30 @@
         ]
         return rows, sum_groups(waiting)
 
+    def add_answered(self, flows: dict[KnownUpstream, int], now: float) -> None:
+        """Add the upstreams without open flows that answered recently."""
+        by_echo = {upstream.echo: upstream for upstream in flows}
+        for echo, answers in self.answers.items():
+            if echo not in by_echo and answers.is_recent(now):
+                flows[answers.upstream] = 0
+
     def row(
         self, upstream: KnownUpstream, flows: int, waiting: int, now: float
     ) -> UpstreamLoad:
         """Return the load of one upstream."""
-        answers = self.answers.get(upstream.echo) or RecentAnswers()
+        answers = self.answers.get(upstream.echo) or RecentAnswers(upstream)
         return UpstreamLoad(
             echo=upstream.echo,
             flows=flows,
             in_progress=waiting,
-            answer_seconds=answers.answer_seconds(now),
-            errors_per_second=answers.errors_per_second(now),
+            answer_seconds=answers.answer_seconds(now, ANSWER_SECONDS),
+            errors_per_second=answers.errors.at(now),
         )
 
     def remove_old_answers(self, now: float) -> None:
         """Remove answers that are not reported any more."""
         for echo, answers in list(self.answers.items()):
-            latest = max(answers.answered_at, answers.error_at)
-            if now - latest > ANSWER_LIFE_SECONDS:
+            if now - answers.latest_at > ANSWER_LIFE_SECONDS:
                 del self.answers[echo]
 
 
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -114,6 +114,10 @@
             'reads_for_domain': int(self.store_sync.is_reader),
             **self.load_gauges(now),
         }
+        if updater.placer.outliers is not None:
+            found['upstreams_outliers'] = updater.placer.outliers.count_ejected(
+                now
+            )
         node_counter = updater.placer.cold.node_counter
         if node_counter is not None:
             found['nodes_counted'] = node_counter.counted
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -15,6 +15,7 @@
 from burdocksill.packets.isolation import IsolationDetector
 from burdocksill.packets.messages import Route, WeightedService
 from burdocksill.packets.outages import DomainOutageDetector
+from burdocksill.packets.outliers import OutlierDetector
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.shared_load import LocalLoadOnly
 from burdocksill.packets.slow_start import ColdAdmission
@@ -50,11 +51,13 @@
 MAX_FULL_SCAN: Final = 64
 # Ranks of candidates: those of a lower rank are preferred.
 HEALTHY: Final = 0
+# It answers, but much worse than its neighbours.
+OUTLIER: Final = 1
 # Its domain is suspected, and it has not answered since.
-SUSPECTED: Final = 1
-EJECTED: Final = 2
-EXPIRED: Final = 3
-RANKS: Final = 4
+SUSPECTED: Final = 2
+EJECTED: Final = 3
+EXPIRED: Final = 4
+RANKS: Final = 5
 NO_EXCLUSIONS: Final[frozenset[str]] = frozenset()
 
 
@@ -74,6 +77,7 @@
         'isolation',
         'load_view',
         'outages',
+        'outliers',
         'rng',
         'spillover',
         'table',
@@ -102,6 +106,8 @@
         self.domains_out: set[str] = set()
         self.cold = ColdAdmission(table)
         self.features = features
+        # Set where nodes report their load to each other.
+        self.outliers: OutlierDetector | None = None
         self.outages: DomainOutageDetector = outages or DomainOutageDetector(
             upstreams,
         )
@@ -126,6 +132,8 @@
     ) -> None:
         """Decide by other loads, as far as the features ask for it."""
         self.load_view = load_view
+        if self.outliers is not None:
+            self.outliers.load_view = load_view
         self.balancer: SharedLoadBalancer | None = None
         self.spillover: Spillover | None = None
         if Feature.SHARED_PLACEMENT in self.features:
@@ -219,6 +227,8 @@
         Usually the own failure domain has a healthy one. Then the others are
         not looked at, because a large fleet has many of them.
         """
+        if self.outliers is not None:
+            self.outliers.update(service, now)
         max_rank = (
             SUSPECTED if self.trials.is_trial(self.outages, now) else HEALTHY
         )
@@ -338,6 +348,9 @@
         """Return an upstream of the own domain that has capacity, or None."""
         if self.domain in self.domains_out:
             return None
+        trial = self.choose_outlier(service, urgency, now, exclude)
+        if trial is not None:
+            return trial
         may_queue = self.spillover is not None and self.spillover.is_known(
             service, now
         )
@@ -351,6 +364,26 @@
             may_queue=may_queue,
         )
 
+    def choose_outlier(
+        self,
+        service: str,
+        urgency: int,
+        now: float,
+        exclude: Container[str],
+    ) -> KnownUpstream | None:
+        """Return an outlier that is tried with this flow, usually None."""
+        if self.outliers is None:
+            return None
+        trial = self.outliers.choose_trial(service, now)
+        if trial is None or self.rank(trial, now, exclude) != OUTLIER:
+            return None
+        is_usable = (
+            not trial.is_cold(now)
+            and trial.admits(urgency)
+            and self.upstreams.is_available(trial, now)
+        )
+        return trial if is_usable else None
+
     def place_in_domain(
         self,
         service: str,
@@ -422,11 +455,13 @@
             return EXPIRED
         if upstream.record.name in exclude or upstream.health.is_ejected(now):
             return EJECTED
-        return (
-            SUSPECTED
-            if self.outages.is_upstream_suspected(upstream, now)
-            else HEALTHY
-        )
+        if self.outages.is_upstream_suspected(upstream, now):
+            return SUSPECTED
+        if self.outliers is not None and self.outliers.is_ejected(
+            upstream, now
+        ):
+            return OUTLIER
+        return HEALTHY
 
     def by_preference(
         self,
--- a/burdocksill/packets/protocols.py
+++ b/burdocksill/packets/protocols.py
@@ -64,5 +64,8 @@
     def node_count(self, now: float) -> int | None:
         """Return the number of nodes of the deployment; None if unknown."""
 
+    def domain_nodes(self, domain: str, now: float) -> int | None:
+        """Return the number of nodes of a domain; None if unknown."""
+
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Count a new flow of this node until the next reports include it."""
--- a/burdocksill/packets/shared_load.py
+++ b/burdocksill/packets/shared_load.py
@@ -57,5 +57,9 @@
     def node_count(self, now: float) -> int | None:
         """Return None."""
 
+    def domain_nodes(self, domain: str, now: float) -> int | None:
+        """Return None: no node is known."""
+        return None
+
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Ignore a new flow."""
--- a/burdocksill/readers/load_sums.py
+++ b/burdocksill/readers/load_sums.py
@@ -27,6 +27,10 @@
 # many times the others' mean, and that much more, as small numbers vary.
 SHARE_FACTOR: Final = 3
 SHARE_MARGIN: Final = 3
+# The margin of errors a second.
+ERROR_MARGIN: Final = 0.5
+# Number of nodes that must have seen an upstream's answer times.
+MIN_AGREEING: Final = 2
 # The mean leaves out the highest of this many reports, and at least one.
 TRIM_INTERVAL: Final = 8
 # A reader's claim for its own domain counts up to this many times its slots.
@@ -36,7 +40,9 @@
 MIN_SHARERS: Final = 2
 
 
-def claim_bound(claims: Iterable[float], count: int) -> float:
+def claim_bound(
+    claims: Iterable[float], count: int, margin: float = SHARE_MARGIN
+) -> float:
     """Return the bound on a claim by the mean of `count` nodes' claims.
 
     Nodes without a claim count as zero.
@@ -45,19 +51,27 @@
         return math.inf
     left_out = math.ceil(count / TRIM_INTERVAL)
     mean = sum(sorted(claims)[:-left_out]) / (count - left_out)
-    return mean * SHARE_FACTOR + SHARE_MARGIN
+    return mean * SHARE_FACTOR + margin
 
 
-def bounded_sum(claims: Sequence[float], count: int) -> float:
+def bounded_sum(
+    claims: Sequence[float], count: int, margin: float = SHARE_MARGIN
+) -> float:
     """Return the sum of the claims of `count` nodes, each bounded."""
-    bound = claim_bound(claims, count)
+    bound = claim_bound(claims, count, margin)
     return sum(min(claim, bound) for claim in claims)
 
 
-def median_of_known(amounts: Iterable[float]) -> float:
-    """Return the median without unknown amounts, which are 0."""
+def median_of_known(amounts: Iterable[float], count: int) -> float:
+    """Return the lower median without unknown amounts, which are 0.
+
+    What one of several nodes alone says of an upstream is left out, and so is
+    the higher of two.
+    """
     known = [amount for amount in amounts if amount > 0]
-    return statistics.median(known) if known else 0
+    if len(known) < min(count, MIN_AGREEING):
+        return 0
+    return statistics.median_low(known) if known else 0
 
 
 def sum_upstream(
@@ -71,9 +85,11 @@
         in_progress=bounded_sum(
             [min(row.in_progress, row.flows) for row in rows], count
         ),
-        answer_seconds=median_of_known(row.answer_seconds for row in rows),
+        answer_seconds=median_of_known(
+            [row.answer_seconds for row in rows], count
+        ),
         errors_per_second=bounded_sum(
-            [row.errors_per_second for row in rows], count
+            [row.errors_per_second for row in rows], count, ERROR_MARGIN
         ),
     )
 
