--- a/burdocksill/packets/local_load.py
+++ b/burdocksill/packets/local_load.py
@@ -27,6 +27,8 @@
 # The least answer time of at most this many seconds is reported. Of requests of
 # different sizes it shows best how quick an upstream is.
 ANSWER_SECONDS: Final = 0.6
+# Errors below this rate are not reported without an open flow.
+MIN_ERRORS_PER_SECOND: Final = 0.1
 # An answer shorter than this fraction of the route's usual size is an error.
 ERROR_SIZE_FRACTION: Final = 0.5
 SIZE_SMOOTHING: Final = 0.02
@@ -47,7 +49,7 @@
 
     def record(self, seconds: float) -> None:
         """Move towards an answer time by one step."""
-        if not self.seconds:
+        if self.seconds == 0:
             self.seconds = seconds
         elif seconds > self.seconds:
             self.seconds *= MEDIAN_STEP
@@ -132,9 +134,12 @@
         else:
             self.errors.count(now)
 
-    def is_recent(self, now: float) -> bool:
-        """Return True when the last answer is reported."""
-        return now - self.latest_at <= ANSWER_SECONDS
+    def is_reported(self, now: float) -> bool:
+        """Return True when an answer or recent errors are reported."""
+        return (
+            now - self.latest_at <= ANSWER_SECONDS
+            or self.errors.at(now) >= MIN_ERRORS_PER_SECOND
+        )
 
     def answer_seconds(self, now: float, within: float) -> float:
         """Return the least recent answer time, 0 if there is none."""
@@ -214,10 +219,9 @@
 
     def add_answered(self, flows: dict[KnownUpstream, int], now: float) -> None:
         """Add the upstreams without open flows that answered recently."""
-        by_echo = {upstream.echo: upstream for upstream in flows}
-        for echo, answers in self.answers.items():
-            if echo not in by_echo and answers.is_recent(now):
-                flows[answers.upstream] = 0
+        for answers in self.answers.values():
+            if answers.is_reported(now):
+                flows.setdefault(answers.upstream, 0)
 
     def row(
         self, upstream: KnownUpstream, flows: int, waiting: int, now: float
