--- a/burdocksill/packets/shared_load.py
+++ b/burdocksill/packets/shared_load.py
@@ -57,5 +57,8 @@
     def node_count(self, now: float) -> int | None:
         """Return None."""
 
+    def domain_nodes(self, domain: str, now: float) -> int | None:
+        """Return None."""
+
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Ignore a new flow."""
