Leave outliers out of the room at home, and give rates a module of their own

Ejected outliers get trials only, so their slots are no room: spillover counted them. The rates of new flows, requests and answers are one module, as the outliers' rate of answers is no rate of placements.

--- a/burdocksill/packets/balancing.py
+++ b/burdocksill/packets/balancing.py
@@ -16,6 +16,7 @@
 from itertools import accumulate
 from random import Random
 
+from burdocksill.packets.rates import SettlingRate
 from burdocksill.packets.slow_start import is_in_slow_start
 from burdocksill.packets.upstreams import KnownUpstream, UpstreamRegistry
 
@@ -35,12 +36,9 @@
 LEVEL_SECONDS: Final = 1.5
 # Probabilities are computed again after this time.
 PLAN_SECONDS: Final = 0.2
-# Time constant of the rate of new flows, and the lowest part of the flows that
-# counts as new. A node of a large fleet places few flows a second.
-RATE_SECONDS: Final = 10.0
+# Lowest part of the flows that counts as new. A node of a large fleet places
+# few flows a second.
 MIN_TURNOVER: Final = 0.02
-# A younger rate rests on too few flows.
-MIN_RATE_AGE_SECONDS: Final = 1.0
 # Time constant of requests in progress. A report counts them at one moment,
 # while differences between upstreams that matter last for seconds.
 IN_PROGRESS_SECONDS: Final = 3.0
@@ -54,33 +52,6 @@
 MAX_DRAWS: Final = 6
 
 
-class PlacementRate:
-    """Estimate the rate of this node's new flows to a service."""
-
-    __slots__ = ('per_second', 'started_at', 'updated_at')
-
-    def __init__(self, now: float) -> None:
-        """Start without flows."""
-        self.per_second: float = 0
-        self.started_at = now
-        self.updated_at = now
-
-    def record(self, now: float) -> None:
-        """Count a new flow."""
-        self.per_second = self.decayed(now) + 1 / RATE_SECONDS
-        self.updated_at = now
-
-    def at(self, now: float) -> float:
-        """Return the rate at a time, in flows per second."""
-        age = max(MIN_RATE_AGE_SECONDS, now - self.started_at)
-        return self.decayed(now) / (1 - math.exp(-age / RATE_SECONDS))
-
-    def decayed(self, now: float) -> float:
-        """Return the rate as if there had been no flows before the first."""
-        elapsed = max(0, now - self.updated_at)
-        return self.per_second * math.exp(-elapsed / RATE_SECONDS)
-
-
 class BalancingPlan:
     """Hold the probabilities of the upstreams of a service and domain."""
 
@@ -125,7 +96,7 @@
         self.rng = rng
         # By service and failure domain.
         self.plans: dict[tuple[str, str], BalancingPlan] = {}
-        self.rates: dict[str, PlacementRate] = {}
+        self.rates: dict[str, SettlingRate] = {}
 
     def choose(
         self,
@@ -152,7 +123,7 @@
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Count a new flow of this node."""
         service = upstream.record.service
-        self.rates.setdefault(service, PlacementRate(now)).record(now)
+        self.rates.setdefault(service, SettlingRate(now)).record(now)
 
     def plan_of(
         self,
--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -219,12 +219,14 @@
         flows.local_load is not None
         and Feature.OUTLIER_EJECTION in settings.features
     ):
-        placer.outliers = OutlierDetector(
-            domain=settings.domain,
-            load_view=placer.load_view,
-            local_load=flows.local_load,
-            upstreams=upstreams,
-            rng=rng,
+        placer.use_outliers(
+            OutlierDetector(
+                domain=settings.domain,
+                load_view=placer.load_view,
+                local_load=flows.local_load,
+                upstreams=upstreams,
+                rng=rng,
+            )
         )
     return PacketCore(
         datagrams=datagrams,
--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -9,7 +9,6 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from math import exp
 
 from burdocksill.packets.admission import (
     DECREASE_EXPONENT,
@@ -22,6 +21,7 @@
     next_baseline,
 )
 from burdocksill.packets.header import format_ipv4
+from burdocksill.packets.rates import DecayingRate
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -81,28 +81,6 @@
 ADMITTED_URGENCY: Final = 1_000_000
 
 
-class DecayingRate:
-    """Count events per second with exponential decay."""
-
-    __slots__ = ('per_second', 'seconds', 'updated_at')
-
-    def __init__(self, seconds: float = RATE_SECONDS) -> None:
-        """Store the time constant and start without events."""
-        self.seconds = seconds
-        self.per_second: float = 0
-        self.updated_at: float = 0
-
-    def at(self, now: float) -> float:
-        """Return the events per second."""
-        elapsed = max(0, now - self.updated_at)
-        return self.per_second * exp(-elapsed / self.seconds)
-
-    def count(self, now: float) -> None:
-        """Count one event."""
-        self.per_second = self.at(now) + 1 / self.seconds
-        self.updated_at = now
-
-
 class RouteLoad:
     """Hold the requests of one route on one service, as this node sees them."""
 
@@ -125,8 +103,8 @@
         self.priority = 0
         self.in_progress = 0
         # Requests that were sent, and openings that were refused.
-        self.requests: DecayingRate = DecayingRate()
-        self.refused: DecayingRate = DecayingRate()
+        self.requests: DecayingRate = DecayingRate(RATE_SECONDS)
+        self.refused: DecayingRate = DecayingRate(RATE_SECONDS)
         # Moving averages of full answers; 0 while unknown.
         self.answer_seconds: float = 0
         self.unqueued_seconds: float = 0
--- a/burdocksill/packets/local_load.py
+++ b/burdocksill/packets/local_load.py
@@ -5,8 +5,7 @@
 from collections import deque
 
 from burdocksill.packets.admission import NO_ENDPOINT
-from burdocksill.packets.balancing import PlacementRate
-from burdocksill.packets.fair_share import DecayingRate
+from burdocksill.packets.rates import DecayingRate, SettlingRate
 from burdocksill.readers.load_messages import UpstreamLoad, group_number
 
 TYPE_CHECKING = False
@@ -88,7 +87,7 @@
     def __init__(self, now: float) -> None:
         """Start without answers."""
         self.times = MovingMedian()
-        self.rate = PlacementRate(now)
+        self.rate = SettlingRate(now)
         # By address and port.
         self.routes: dict[tuple[int, int], RouteAnswers] = {}
 
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -132,8 +132,6 @@
     ) -> None:
         """Decide by other loads, as far as the features ask for it."""
         self.load_view = load_view
-        if self.outliers is not None:
-            self.outliers.load_view = load_view
         self.balancer: SharedLoadBalancer | None = None
         self.spillover: Spillover | None = None
         if Feature.SHARED_PLACEMENT in self.features:
@@ -153,6 +151,15 @@
                 rng=self.rng,
                 start=spillover_start,
             )
+        if self.outliers is not None:
+            self.use_outliers(self.outliers)
+
+    def use_outliers(self, outliers: OutlierDetector) -> None:
+        """Let new flows avoid upstreams that serve badly."""
+        outliers.load_view = self.load_view
+        self.outliers = outliers
+        if self.spillover is not None:
+            self.spillover.outliers = outliers
 
     def place(
         self,
--- a/burdocksill/packets/spillover.py
+++ b/burdocksill/packets/spillover.py
@@ -20,6 +20,7 @@
     from collections.abc import Collection
     from typing import Final
 
+    from burdocksill.packets.outliers import OutlierDetector
     from burdocksill.packets.protocols import LoadView
 
 # Requests in progress for each slot to which the own domain is filled before
@@ -148,6 +149,7 @@
         'domains_out',
         'load_view',
         'outages',
+        'outliers',
         'placed',
         'rng',
         'services',
@@ -174,6 +176,8 @@
         self.outages = outages
         self.rng = rng
         self.start = start
+        # Set where nodes detect outliers, which serve trials only.
+        self.outliers: OutlierDetector | None = None
         self.services: dict[str, ServiceSpillover] = {}
         # Number of flows that left, by service and domain.
         self.placed: Counter[tuple[str, str]] = Counter()
@@ -314,8 +318,15 @@
             if not upstream.is_cold(now)
             and not upstream.health.is_ejected(now)
             and not self.outages.is_upstream_suspected(upstream, now)
+            and not self.is_outlier(upstream, now)
         ]
 
+    def is_outlier(self, upstream: KnownUpstream, now: float) -> bool:
+        """Return True for an upstream that was ejected as an outlier."""
+        return self.outliers is not None and self.outliers.is_ejected(
+            upstream, now
+        )
+
     def log_change(
         self,
         service: str,
