--- a/burdocksill/packets/sync.py
+++ b/burdocksill/packets/sync.py
@@ -189,9 +189,7 @@
     """Exchange evidence of silent upstreams over the socket for peers."""
     observations = exchange.observations
     exchange.silence = SilenceExchange(
-        local_node=observations.local_node,
-        domain=observations.domain,
-        directory=observations.directory,
+        role=observations,
         detector=detector,
         judge=SilenceJudge(upstreams=detector.upstreams),
         publisher=observations.publisher,
--- a/burdocksill/readers/silence_reports.py
+++ b/burdocksill/readers/silence_reports.py
@@ -14,9 +14,8 @@
     SilenceReport,
 )
 from burdocksill.readers.datagrams import SilenceNotices, SilenceReports
-from burdocksill.readers.messages import Reader
 from burdocksill.readers.observations import reporter_of
-from burdocksill.readers.protocols import ReaderRegistry, Sender
+from burdocksill.readers.protocols import DomainRole, Sender
 from burdocksill.readers.publisher import Publisher
 from burdocksill.readers.silence_wire import (
     encode_silence_notices,
@@ -35,9 +34,7 @@
     Reports are rare and urgent, so that they are not collected.
     """
 
-    local_node: Reader
-    domain: str
-    directory: ReaderRegistry
+    role: DomainRole
     detector: SilenceDetector
     judge: SilenceJudge
     publisher: Publisher
@@ -51,28 +48,15 @@
     sent: int = 0
     received: int = 0
 
-    @property
-    def reader(self) -> Reader | None:
-        """Return the reader of the own failure domain."""
-        entry = self.directory.readers.get(self.domain)
-        return None if entry is None else entry.reader
-
-    @property
-    def is_reader(self) -> bool:
-        """Return True when this node is its domain's reader."""
-        return (
-            self.reader is not None and self.reader.name == self.local_node.name
-        )
-
     def report(self, report: SilenceReport) -> None:
         """Report what this node has seen."""
-        if self.is_reader:
+        if self.role.is_reader:
             self.own_reports.append(report)
             self.on_waiting()
-        elif self.reader is not None:
+        elif self.role.reader is not None:
             self.sent += 1
             payload = encode_silence_reports((report,), self.clock())
-            self.send(payload, self.reader.address)
+            self.send(payload, self.role.reader.address)
 
     def handle(
         self, message: SilenceReports | SilenceNotices, sender: Address
@@ -88,7 +72,7 @@
     ) -> None:
         """Judge reports of a subscriber, if this node is the reader."""
         self.received += len(reports)
-        if not self.is_reader or sender not in self.publisher.subscribers:
+        if not self.role.is_reader or sender not in self.publisher.subscribers:
             return
         now = self.clock()
         for report in reports:
@@ -99,7 +83,7 @@
     ) -> None:
         """Follow notices of the own reader."""
         self.received += len(notices)
-        if self.reader is None or sender != self.reader.address:
+        if self.role.reader is None or sender != self.role.reader.address:
             return
         for notice in notices:
             self.detector.handle_notice(notice)
--- a/burdocksill_lab/packets/sharing.py
+++ b/burdocksill_lab/packets/sharing.py
@@ -138,9 +138,7 @@
     core.updater.placer.outages.on_observation = sender.schedule_observations
     if core.silence is not None:
         sender.silence = SilenceExchange(
-            local_node=exchange.local_node,
-            domain=exchange.domain,
-            directory=exchange.directory,
+            role=exchange,
             detector=core.silence,
             judge=SilenceJudge(upstreams=core.silence.upstreams),
             publisher=exchange.publisher,
