Do not divide by an answer time of zero

Cause: a node that reads a request and its answer in one batch measures 0 s. Ruled out: other divisions of the same module; the rates divide by at least 0.095. Change: such an answer counts as 1 ms. 'Requests and answers that are read together' failed before.

--- a/burdocksill/packets/local_load.py
+++ b/burdocksill/packets/local_load.py
@@ -33,6 +33,8 @@
 SIZE_SMOOTHING: Final = 0.02
 # Step of the moving medians of answer times.
 MEDIAN_STEP: Final = 1.05
+# An answer that is read together with its request counts as this quick.
+MIN_ANSWER_SECONDS: Final = 0.001
 # Answers older than this are forgotten.
 ANSWER_LIFE_SECONDS: Final = 5.0
 
@@ -105,6 +107,7 @@
         upstream got the requests of which route.
         """
         self.rate.record(now)
+        seconds = max(seconds, MIN_ANSWER_SECONDS)
         route = self.routes.setdefault(endpoint, RouteAnswers(usual_size))
         if route.record(seconds, size):
             return 0
--- a/tests/packets/outliers.feature
+++ b/tests/packets/outliers.feature
@@ -87,6 +87,17 @@
     Then 0 upstreams are ejected
     And each upstream got flows in the last 2 seconds
 
+  Scenario Outline: Requests and answers that are read together
+    Guards against a process that ends by an answer without a measured time.
+    Given 2 nodes and 3 upstreams with ejection
+    When a node reads a request and its answer at once, <times> times
+    Then it reports an answer time above 0
+
+    Examples:
+      | times |
+      | 1     |
+      | 20    |
+
   Scenario: Flows on ejected upstreams go on
     Given 22 nodes and 24 upstreams with ejection
     And 300 short flows a second
--- a/tests/steps/packets_outliers.py
+++ b/tests/steps/packets_outliers.py
@@ -147,6 +147,24 @@
     return list(context.packets.upstreams.values())[::3]
 
 
+@when('a node reads a request and its answer at once, {times:d} times')
+def read_together(context: Context, times: int) -> None:
+    """Record answers that took no time by the node's clock."""
+    core = context.packets.nodes[0].core
+    local_load = core.forwarder.flows.local_load
+    upstream = next(iter(core.updater.upstreams.by_name.values()))
+    now = context.packets.timeline.now
+    for _ in range(times):
+        local_load.record_answer(upstream, 0, 600, now)
+    context.found = local_load.latest_seconds(upstream, now)
+
+
+@then('it reports an answer time above 0')
+def check_time(context: Context) -> None:
+    """Check the time of the last answer."""
+    assert context.found > 0, context.found
+
+
 @when('a third of the upstreams is slow')
 def slow_third(context: Context) -> None:
     """Slow them down for as long as the scenario lasts."""
