Keep the limit above zero while a service has no slots

Cause: a request that is sent while no upstream of its service is known has 0 in progress for each slot. Its late answer set the limit to 0, and the next late one divided by it: the process ends. 'Answers while a service has no slots' failed before for both.

--- a/burdocksill/packets/admission.py
+++ b/burdocksill/packets/admission.py
@@ -151,7 +151,7 @@
         )
         if sample.seconds <= longest:
             self.limit += self.limit * INCREASE_FRACTION
-        else:
+        elif sample.in_progress:
             fitting_limit = sample.in_progress * longest / sample.seconds
             self.limit *= (
                 min(1, fitting_limit / self.limit) ** DECREASE_EXPONENT
--- a/burdocksill/packets/fair_share.py
+++ b/burdocksill/packets/fair_share.py
@@ -350,8 +350,13 @@
             self.lower(sample.in_progress * longest / sample.seconds)
 
     def lower(self, fitting_limit: float) -> None:
-        """Move the limit towards a lower one that would have fitted."""
-        self.limit *= min(1, fitting_limit / self.limit) ** DECREASE_EXPONENT
+        """Move the limit towards a lower one that would have fitted.
+
+        Ignore 0, of a request that was sent while no slots were known.
+        """
+        if fitting_limit:
+            ratio = min(1, fitting_limit / self.limit)
+            self.limit *= ratio**DECREASE_EXPONENT
 
 
 def divide(room: float, wants: list[tuple[int, float]]) -> list[float]:
--- a/tests/packets/fair_share.feature
+++ b/tests/packets/fair_share.feature
@@ -24,6 +24,19 @@
     Then route 1 has at least 18 requests in progress at second 1.9
     And route 2 has at least 9 requests in progress at second 2.5
 
+  Scenario Outline: Answers while a service has no slots
+    Guards against a limit of zero, and a process that ends by dividing by it.
+    Given <limiter> whose upstreams are unknown
+    When 3 late answers of older requests arrive
+    And its upstreams are known again
+    And 3 late answers of older requests arrive
+    Then it admits one more request
+
+    Examples:
+      | limiter             |
+      | a fair limiter      |
+      | an adaptive limiter |
+
   Scenario: The least urgent route is not starved
     Given a service with room for 20 requests of 0.1 seconds
     When route 1 calls 800 times a second for 4 seconds
--- a/tests/steps/packets_fair_share.py
+++ b/tests/steps/packets_fair_share.py
@@ -5,7 +5,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from burdocksill.packets.admission import AnswerSample
+from burdocksill.packets.admission import (
+    NO_ENDPOINT,
+    AnswerSample,
+    ConcurrencyLimiter,
+)
 from burdocksill.packets.fair_share import (
     FairShareLimiter,
     divide,
@@ -52,6 +56,39 @@
     context.loads = {}
 
 
+@given('{kind} limiter whose upstreams are unknown')
+def make_without_slots(context: Context, kind: str) -> None:
+    """Create a limiter without slots, which has requests in progress."""
+    is_fair = kind.endswith('fair')
+    context.limiter = FairShareLimiter() if is_fair else ConcurrencyLimiter()
+    context.limiter.begin(NO_ENDPOINT, 0)
+
+
+@when('3 late answers of older requests arrive')
+def answer_late(context: Context) -> None:
+    """Record answers of requests that were sent without known slots."""
+    for number, seconds in enumerate((0.1, 9, 9, 9)):
+        sample = AnswerSample(
+            seconds=seconds, size=600, in_progress=0, objective_seconds=1
+        )
+        context.limiter.record_answer(sample, 1 + number / 10)
+
+
+@when('its upstreams are known again')
+def add_slots(context: Context) -> None:
+    """Give the limiter its slots."""
+    context.limiter.slots = 8
+
+
+@then('it admits one more request')
+def check_admits(context: Context) -> None:
+    """Ask the limiter for room beside its request in progress."""
+    context.routes = {1: make_route(1, 0)}
+    if isinstance(context.limiter, FairShareLimiter):
+        assert ask(context, 1, 4.0)
+    assert context.limiter.admits(0)
+
+
 def ask(context: Context, number: int, now: float) -> bool:
     """Ask for an opening of a route."""
     table = RoutingTable()
