--- a/tools/verify.py
+++ b/tools/verify.py
@@ -24,6 +24,8 @@
     'readers/fleet.feature',
     'packets/outages.feature',
     'readers/restored.feature',
+    'packets/silence.feature',
+    'readers/load_reports.feature',
     'packets/admission.feature',
 )
 # Cores that are left to the features with real processes, which run meanwhile.
