Run the features with bounds on times when no other feature runs

Both bound times, and now ran beside four other features. Change: they run at the end, alone, as before. Nothing of either is changed.

--- a/tools/verify.py
+++ b/tools/verify.py
@@ -48,6 +48,8 @@
     'lab/soak.feature',
     'packets/explaining.feature',
 )
+# Features whose bounds are on times, which run when nothing else does.
+TIMED: Final = ('docs/examples.feature', 'lab/bench.feature')
 # Scenarios of promises without a proof skip themselves and are printed as not
 # run. A scenario that is skipped in any other feature counts as failed.
 MAY_SKIP: Final = 'tests/lab/promises.feature: '
@@ -76,23 +78,27 @@
     """Run all features and count each scenario, in the order of the files.
 
     Features on the virtual clock run in parallel. Those that start real
-    processes run one at a time, as they would slow each other down, beside
-    the others.
+    processes run one at a time, as they would slow each other down: those with
+    bounds on times at the end, the others beside the features in parallel.
     """
     features = sorted(str(path) for path in TESTS.rglob('*.feature'))
     alone = [path for path in features if path.endswith(REAL_PROCESSES)]
     units = [
         unit for path in features if path not in alone for unit in split(path)
     ]
+    timed = [path for path in alone if path.endswith(TIMED)]
+    beside = [path for path in alone if path not in timed]
     slowest_first = sorted(units, key=slowness)
     with (
         ThreadPoolExecutor(1) as one_at_a_time,
         ThreadPoolExecutor(workers()) as pool,
     ):
-        real = one_at_a_time.map(run_feature, alone)
+        real = one_at_a_time.map(run_feature, beside)
         virtual = pool.map(run_feature, slowest_first)
         reports = dict(zip(slowest_first, virtual, strict=True))
-        reports |= dict(zip(alone, real, strict=True))
+        reports |= dict(zip(beside, real, strict=True))
+    for path in timed:
+        reports[path] = run_feature(path)
     for unit in (*units, *alone):
         count_feature(tally, unit, reports[unit])
 
