--- a/review/2/run.py
+++ b/review/2/run.py
@@ -122,7 +122,7 @@
         added.start()
         await world.until_ready([added])
     # The endpoint gets a queue at the time when the machine is added.
-    wait = router.next_probe_at - 0.25 - time.monotonic()
+    wait = router.next_probe_at - 0.33 - time.monotonic()
     await asyncio.sleep(wait if wait > 0 else wait + 0.5)
     fill_queue(others, 'first')
     await asyncio.sleep(0.02)
