--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,11 +1,13 @@
-"""An endpoint that comes back cold under its id while the store is down.
+"""A manifest with a route of priority 300 moves another route.
 
-The store is silent for 4.5 s. In that time the endpoint of zone a crashes and
-starts again under the id that it had. It is cold, but its report can't reach
-the store. The clients go on opening flows at the same rate as before.
+Version 9 moves the route for counts from `ledger` to `ledger-next`, and adds a
+route for bulk downloads with a low priority. Later all nodes are stopped and
+started in turn. With TROUBLE=0 the added route has priority 3 instead of 300;
+everything else is the same.
 """
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -17,6 +19,7 @@
     ClientFlow,
     Endpoint,
     Node,
+    Request,
     World,
     main,
     route,
@@ -24,138 +27,114 @@
 )
 
 ZONES = ('a', 'b', 'c')
-STATEMENT = 8443
-WORK_MS, ANSWER_BYTES = 8, 2000
-FLOWS_PER_SECOND = 25
-COLD_PER_SECOND = 4.0
-WARMUP_SECONDS = 2.0
-# `WarmupFactor` and `WarmupSlack`.
-LIMIT = COLD_PER_SECOND * 1.5 + 5
-OUTAGE_SECONDS = 4.5
-CRASH_AFTER_SECONDS = 0.5
-RESTART_SECONDS = 0.8
-ROUNDS = 4
-CALM_SECONDS = 9.0
-
-
-class Opening:
-    """The opening packet of a flow that a cold endpoint took."""
-
-    def __init__(self, sent_at: float, at: float, through: str) -> None:
-        self.sent_at = sent_at
-        self.at = at
-        self.through = through
-
-
-class ColdWatch:
-    """Count the openings that a cold endpoint took inside one second."""
-
-    def __init__(self, world: World) -> None:
-        self.world = world
-        self.openings: dict[str, list[Opening]] = {}
-        self.broken: list[str] = []
-        self.fell: set[tuple[str, int]] = set()
-
-    def opened(self, endpoint: Endpoint) -> None:
-        """Record an opening; the endpoint falls over if they are too many."""
-        now = self.world.record.now()
-        key = list(endpoint.flows)[-1]
-        flow = self.world.clients[key]
-        through = self.world.through[key]
-        taken = self.openings.setdefault(endpoint.name, [])
-        taken.append(Opening(flow.created_at, now, through))
-        recent = [one for one in taken if one.sent_at > now - 1]
-        boot = (endpoint.name, endpoint.boot)
-        self.world.record(
-            f'{endpoint.name}, cold, takes an opening through {through}; '
-            f'{len(recent)} were sent and arrived in the last second'
-        )
-        if len(recent) > LIMIT and boot not in self.fell:
-            self.fell.add(boot)
-            self.broken.append(
-                f'FAILBACK: {endpoint.name} is cold and got {len(recent)} '
-                f'requests in one second, {LIMIT} are allowed'
-            )
-            self.world.record(self.broken[-1])
-            asyncio.get_running_loop().call_soon(self.fall_over, endpoint)
-
-    def fall_over(self, endpoint: Endpoint) -> None:
-        """End an endpoint's process under the load."""
-        self.world.record(f'{endpoint.name} falls over')
-        endpoint.crash()
-        self.world.tasks.append(
-            asyncio.create_task(restart(self.world, endpoint, 2.0))
-        )
-
-
-async def restart(world: World, endpoint: Endpoint, after: float) -> None:
-    """Start an endpoint again under its id; it is cold for a while."""
-    await asyncio.sleep(after)
-    await endpoint.start(cold_seconds=WARMUP_SECONDS)
-    world.record(f'{endpoint.name} runs again and is cold')
+COUNT, BULK = 8080, 9090
+OLD, NEW = 'ledger', 'ledger-next'
+LOW_PRIORITY, USUAL_PRIORITY = 300, 3
+WORK_MS, ANSWER_BYTES, BODY_BYTES = 30, 600, 900
+REQUESTS_PER_SECOND = 4
+CONFIG_SECONDS = 3.0
+# Rules hold for nodes that ran, and had a path to the store, for this long.
+STABLE_SECONDS = 4.0
+BEFORE_SECONDS, BETWEEN_SECONDS, AFTER_SECONDS = 6.0, 14.0, 12.0
+ROLL_GAP_SECONDS = 1.3
+GRACE_SECONDS = 6.0
 
 
 async def use(world: World, zone: str) -> None:
-    """Fetch statements at a steady rate, each on a flow of its own."""
+    """Post counts at a steady rate, each on a flow of its own."""
     due = time.monotonic()
     while True:
-        world.tasks.append(asyncio.create_task(fetch(world, zone)))
-        due += 1 / FLOWS_PER_SECOND
+        world.tasks.append(asyncio.create_task(post(world, zone)))
+        due += 1 / REQUESTS_PER_SECOND
         await asyncio.sleep(max(0, due - time.monotonic()))
 
 
-async def fetch(world: World, zone: str) -> None:
-    """Fetch one statement."""
-    flow = ClientFlow(world, zone, STATEMENT)
-    await flow.ask('download', work_ms=WORK_MS, answer_bytes=ANSWER_BYTES)
+async def post(world: World, zone: str) -> None:
+    """Post one count."""
+    flow = ClientFlow(world, zone, COUNT)
+    await flow.ask(
+        'unsafe',
+        work_ms=WORK_MS,
+        answer_bytes=ANSWER_BYTES,
+        body_bytes=BODY_BYTES,
+    )
     flow.close()
-    await asyncio.sleep(2)
-    del world.clients[flow.key]
+
+
+async def roll(world: World) -> None:
+    """Stop the nodes in turn and start them again."""
+    for node in world.nodes:
+        world.record(f'{node.name} gets SIGTERM')
+        node.signal(signal.SIGTERM)
+        await node.ended(GRACE_SECONDS)
+        node.start()
+        world.record(f'{node.name} is started again')
+        await asyncio.sleep(ROLL_GAP_SECONDS)
+
+
+def manifest(version: int, target: str, added: list[dict]) -> tuple:
+    """Return the arguments of a manifest."""
+    routes = [route(COUNT, target, 'unsafe'), *added]
+    return version, routes, [service(OLD), service(NEW)]
+
+
+def breaches(world: World, acknowledged: float, rolled: float) -> list[str]:
+    """Return each request that was handled as only version 7 allows."""
+    services = {one.name: one.service for one in world.endpoints}
+    found = []
+
+    def is_late(request: Request) -> bool:
+        return acknowledged + CONFIG_SECONDS < request.sent_at < rolled
+
+    for request in filter(is_late, world.requests):
+        ran = [services[name] for name in world.runs.get(request.ident, [])]
+        if OLD in ran:
+            late = request.sent_at - acknowledged
+            found.append(
+                f'CONFIG: {request.ident}, sent {late:.1f} s after the ack of '
+                f'version 9, ran on {OLD}'
+            )
+    return found
 
 
 async def play(world: World, trouble: bool) -> list[str]:
-    """Run the load and the outages; return each breach of the limit."""
+    """Change the manifest, then stop and start all nodes."""
     for place, zone in enumerate(ZONES):
         for one in (1, 2):
             host = f'127.11.{place}.{one}'
             world.nodes.append(Node(world, f'front-{zone}-{one}', host, zone))
-        name = f'i-7f3a{place + 1:02x}01'
-        host = f'127.14.{place}.1'
-        world.endpoints.append(Endpoint(world, name, host, 'desk', zone))
-    watch = ColdWatch(world)
-    for endpoint in world.endpoints:
-        endpoint.on_cold_opening = watch.opened
-    world.put_manifest(
-        7,
-        [route(STATEMENT, 'desk', 'download')],
-        [service('desk', COLD_PER_SECOND)],
-    )
+            name = f'i-7f3a{place + 1:02x}{one:02x}'
+            host = f'127.14.{place}.{one}'
+            target = OLD if one == 1 else NEW
+            world.endpoints.append(Endpoint(world, name, host, target, zone))
+    world.put_manifest(*manifest(7, OLD, []))
     await world.start()
     for zone in ZONES:
         world.tasks.append(asyncio.create_task(use(world, zone)))
-    for _ in range(ROUNDS):
-        await asyncio.sleep(CALM_SECONDS)
-        if not trouble:
-            await asyncio.sleep(OUTAGE_SECONDS)
-            continue
-        world.store.up.clear()
-        world.record('the store is silent')
-        await asyncio.sleep(CRASH_AFTER_SECONDS)
-        world.endpoints[0].crash()
-        world.record(f'{world.endpoints[0].name} crashes')
-        await restart(world, world.endpoints[0], RESTART_SECONDS)
-        rest = OUTAGE_SECONDS - CRASH_AFTER_SECONDS - RESTART_SECONDS
-        await asyncio.sleep(rest)
-        world.store.up.set()
-        world.record('the store answers again')
-    await asyncio.sleep(4)
-    lost = sum(
-        request.outcome not in {'200', 'not opened', ''}
-        and bool(world.runs.get(request.ident))
-        for request in world.requests
+    await asyncio.sleep(BEFORE_SECONDS)
+    priority = LOW_PRIORITY if trouble else USUAL_PRIORITY
+    bulk = route(BULK, NEW, 'download', Priority=priority)
+    world.put_manifest(*manifest(9, NEW, [bulk]))
+    acknowledged = world.record.now()
+    await asyncio.sleep(BETWEEN_SECONDS)
+    rolled = world.record.now()
+    await roll(world)
+    ended = world.record.now()
+    await asyncio.sleep(AFTER_SECONDS)
+    broken = breaches(world, acknowledged, rolled)
+    judged = [
+        one
+        for one in world.requests
+        if one.sent_at > ended + STABLE_SECONDS and one.outcome
+    ]
+    served = sum(one.outcome == '200' for one in judged)
+    world.record(
+        f'{served} of {len(judged)} requests were served that were sent later '
+        f'than {STABLE_SECONDS} s after the last node was started'
     )
-    world.record(f'{lost} requests that ran got no answer')
-    return watch.broken
+    for line in world.log_lines('entry unreadable'):
+        world.record('log: ' + line)
+    return broken
 
 
 if __name__ == '__main__':
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -84,6 +84,8 @@
         self.lease_number = 5000
         # Endpoints' entries end when their endpoint is silent.
         self.entry_ends: dict[str, float] = {}
+        # Their last entries without Seq, and the revisions of these.
+        self.beats: dict[str, tuple[str, int]] = {}
         self.address = ('', 0)
         # While cleared, no call is answered.
         self.up = asyncio.Event()
@@ -123,12 +125,12 @@
     def beat(self, key: str, entry: dict) -> None:
         """Take a liveness report; it is a change if more than Seq changed."""
         self.entry_ends[key] = time.monotonic() + 3 * HEARTBEAT_SECONDS
-        known = self.items.get(key)
-        if known is not None:
-            before = json.loads(base64.b64decode(known['Value']))
-            if before | {'Seq': 0} == entry | {'Seq': 0}:
-                return
+        changed = json.dumps(entry | {'Seq': 0})
+        known = self.items.get(key, {}).get('Rev')
+        if self.beats.get(key) == (changed, known):
+            return
         self.put(key, json.dumps(entry).encode())
+        self.beats[key] = (changed, self.revision)
 
     async def expire(self) -> None:
         """End leases and entries that nobody renews."""
