--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,8 +1,8 @@
 """Many services are in use at once, and the nodes tell each other their load.
 
 24 services run in each of three zones. Usually 60 of these 72 are in use at a
-time. In bursts of 5.9 s, users of all of them come: 1.2 times as many. A process
-that ends is started again after a short delay, as the platform does.
+time. In bursts of 5.9 s, users of all of them come: 1.2 times as many. A
+process that ends is started again after a short delay, as the platform does.
 """
 
 import asyncio
