Conclude that an upstream is dark from unacknowledged copies only

Cause: three flows (two) that had retransmitted once, without an answer to anybody for 0.25 s (0.4 s) and for multiples of usual and recent answer times, passed for proof. An upstream whose slots are all busy with long requests answers nobody for as long as these take, and each waiting client retransmits once. No time follows from the answers before: the requests that fill the slots need not be like the last ones.

Change: a flow is evidence once its client retransmits after a copy that a living upstream acknowledges at once. That is the second retransmission, or the first one after a probe: a node sends a request again 0.1 s after it forwarded it, if its upstream has answered nobody since. So two clients show a dark upstream at their first retransmissions, 0.2 s after their requests (0.25 to 0.4 s before), and a living upstream's clients have nothing to retransmit. The times of the old rule are gone.

Related paths: when an entry expires, a client whose next retransmission is overdue does not wait any more: its upstream has acknowledged the request. The parts of a request of several packets count as one: a copy of the first part was taken for new data and ended the evidence.

Ruled out: a longer wait (the slots of the case are busy for 0.6 s, as long as a second retransmission takes); more flows (all clients of a busy upstream retransmit once); unanswered openings (an upstream without room for flows ignores them).

--- a/burdocksill/packets/core.py
+++ b/burdocksill/packets/core.py
@@ -91,7 +91,7 @@
                 payload = self.datagrams.recv(LARGEST_PACKET + 1)
             except BlockingIOError:
                 self.backlogged_since = 0
-                self.expire_openings(now)
+                self.handle_due(now)
                 return
             except ConnectionError:
                 # An ICMP error for an earlier datagram to an upstream; the
@@ -101,13 +101,16 @@
             self.handle(payload, now)
         self.backlogged_since = self.backlogged_since or now
 
-    def expire_openings(self, now: float) -> None:
-        """Reset lost flows, and record and count overdue openings."""
+    def handle_due(self, now: float) -> None:
+        """Reset lost flows, count overdue openings and send due probes."""
         self.forwarder.reset_lost_flows(now)
         self.send_pending_resets()
         missed = self.forwarder.expire_openings(now)
         if missed:
             self.counts[Reason.OPENING_MISSED.value] += missed
+        for probe in self.forwarder.probes.pop_due(now):
+            if not self.forwarder.flows.is_backlogged:
+                self.send(probe.record_sent(now))
 
     def end_silent(self, upstream: KnownUpstream, since: float) -> bool:
         """Reset the flows of an upstream that other nodes found silent.
@@ -126,10 +129,13 @@
         return True
 
     def seconds_until_due(self, now: float) -> float:
-        """Return the seconds until `expire_openings` has something to do."""
+        """Return the seconds until `handle_due` has something to do."""
         if self.updater.upstreams.replaced or self.updater.upstreams.expired:
             return 0
-        return max(0, self.forwarder.openings.next_due() - now)
+        due_at = min(
+            self.forwarder.openings.next_due(), self.forwarder.probes.next_due()
+        )
+        return max(0, due_at - now)
 
     def has_backlog(self, now: float) -> bool:
         """Return True when the socket has not been empty for too long.
--- a/burdocksill/packets/decisions.py
+++ b/burdocksill/packets/decisions.py
@@ -37,6 +37,10 @@
             fields['flows'] = upstream.flows
             fields['waiting'] = upstream.waiting
             fields['silent'] = len(upstream.health.unanswered_flows)
+            fields['certain'] = sum(
+                one.is_certain
+                for one in upstream.health.unanswered_flows.values()
+            )
             fields['answer_s'] = round(upstream.health.answer_seconds, 3)
         logger.info(reason.value, extra=fields)
 
--- a/burdocksill/packets/flows.py
+++ b/burdocksill/packets/flows.py
@@ -33,12 +33,19 @@
 # sooner after the packet before it was duplicated by the network, or has waited
 # in the socket while this node was paused or starting.
 MIN_RETRANSMIT_SECONDS: Final = 0.15
+# The time after which a client retransmits for the first time.
+FIRST_RETRANSMIT_SECONDS: Final = 0.2
 # Clients double the time between retransmissions, up to this time.
 RETRANSMIT_BACKOFF: Final = 2
 MAX_RETRANSMIT_SECONDS: Final = 1.6
 # A packet waits at most this long in the socket of a node that keeps up. Half
 # of the time after which a client retransmits unanswered data.
 MAX_READ_DELAY_SECONDS: Final = 0.1
+# A probe counts if it was sent at most this long after the request and at least
+# this long before the client's retransmission, so that its acknowledgement had
+# time to reach the client first, although this node reads packets late.
+MAX_PROBE_DELAY_SECONDS: Final = 0.13
+MIN_PROBE_SECONDS: Final = 0.07
 # Flows that arrive from other nodes at shorter intervals were moved together:
 # after a change of nodes each arrives when its client next sends a request.
 ROTATION_GAP_SECONDS: Final = 1.0
@@ -55,12 +62,16 @@
 
     __slots__ = (
         'ack',
+        'due_at',
         'endpoint',
+        'first_pause',
         'in_progress',
         'last_seen_at',
         'objective_seconds',
         'open',
+        'probed_at',
         'repeated_at',
+        'repeated_seq',
         'retransmitted',
         'sent_at',
         'seq',
@@ -87,6 +98,12 @@
         self.seq: int = -1
         # When data with this sequence number was last sent.
         self.sent_at: float = 0
+        # Longest time until the client retransmits the next data.
+        self.first_pause = FIRST_RETRANSMIT_SECONDS
+        # When its next retransmission is overdue. A client that is still
+        # waiting has sent it by then, unless its upstream has acknowledged the
+        # data or the flow has moved to another node.
+        self.due_at: float = 0
         # Objective for the answer time; 0 if none is set.
         self.objective_seconds = objective_seconds
         # Time for which its client waits for an answer; 0 if unknown.
@@ -98,8 +115,26 @@
         self.unanswered_since: float = 0
         self.open = False
         self.retransmitted = False
-        # When unanswered data was first sent again; 0 if it was not.
+        # When unanswered data was first sent again, 0 if it was not, and its
+        # sequence number. Copies of other parts of a request prove no more.
         self.repeated_at: float = 0
+        self.repeated_seq: int = -1
+        # When this node sent a copy of the unanswered data; 0 if it did not.
+        self.probed_at: float = 0
+
+    def is_probed(self, now: float) -> bool:
+        """Return True when a probe would have been acknowledged by now.
+
+        The usual answer time includes the round trip between the client, this
+        node and the upstream.
+        """
+        waited = now - self.probed_at
+        return (
+            self.probed_at > 0
+            and self.probed_at - self.sent_at <= MAX_PROBE_DELAY_SECONDS
+            and waited >= MIN_PROBE_SECONDS
+            and waited >= self.upstream.health.answer_seconds
+        )
 
 
 class FlowTable:
@@ -188,6 +223,8 @@
         flow = self.start(packet.flow, upstream, now)
         flow.open = True
         flow.ack = packet.ack
+        # Its data may be a retransmission, with a longer pause after it.
+        flow.first_pause = MAX_RETRANSMIT_SECONDS
         # A packet without data may be the last one of a flow that has ended.
         if packet.length:
             if now - self.moved_in_at > ROTATION_GAP_SECONDS:
@@ -209,15 +246,19 @@
             key for key, flow in self.flows.items() if flow.upstream is upstream
         ]
 
-    def has_waited_since(self, upstream: KnownUpstream, begin: float) -> bool:
-        """Return True when a client has waited for its answer since `begin`.
+    def has_waited(
+        self, upstream: KnownUpstream, seconds: float, now: float
+    ) -> bool:
+        """Return True when a client has waited at least some seconds.
 
-        A wait does not count if another client got an answer meanwhile, or if
-        routers may have moved the flow, and its answer, to another node.
+        A wait does not count if another client got an answer meanwhile, if the
+        upstream has acknowledged the request, or if routers may have moved the
+        flow, and its answer, to another node.
         """
         answered_at = upstream.health.last_answer_at
         return any(
-            answered_at < flow.unanswered_since <= begin
+            answered_at < flow.unanswered_since <= now - seconds
+            and now <= flow.due_at
             and flow.last_seen_at >= self.rotated_at
             for flow in self.flows.values()
             if flow.upstream is upstream
@@ -343,28 +384,60 @@
         socket of this node, which proves nothing about the upstream.
         """
         pause = now - flow.sent_at
+        is_after_probe = packet.seq == flow.seq and flow.is_probed(now)
         flow.sent_at = now
-        if packet.seq != flow.seq:
-            flow.seq = packet.seq
-            flow.retransmitted = False
-            flow.repeated_at = 0
-            if not flow.unanswered_since:
-                flow.unanswered_since = now
-                flow.upstream.begin_request(flow.endpoint, now)
-                flow.in_progress = flow.upstream.limiter.in_progress
+        if flow.seq < 0 or is_sequence_after(packet.seq, flow.seq):
+            self.handle_new_data(flow, packet, now)
         elif flow.unanswered_since:
-            flow.retransmitted = True
+            if is_reliable or packet.seq == flow.seq:
+                flow.retransmitted = True
             if is_reliable:
                 next_pause = min(
                     pause * RETRANSMIT_BACKOFF, MAX_RETRANSMIT_SECONDS
                 )
-                flow.upstream.health.record_retransmission(
-                    packet.flow,
-                    flow.unanswered_since,
-                    now,
-                    due_at=now + next_pause + MAX_READ_DELAY_SECONDS,
+                flow.due_at = now + next_pause + MAX_READ_DELAY_SECONDS
+                self.handle_retransmission(
+                    flow, packet, now, is_after_probe=is_after_probe
                 )
-                self.report_repeat(packet, flow, now)
+
+    def handle_new_data(
+        self, flow: TrackedFlow, packet: Packet, now: float
+    ) -> None:
+        """Record data that the client sends for the first time."""
+        flow.seq = packet.seq
+        flow.due_at = now + flow.first_pause + MAX_READ_DELAY_SECONDS
+        flow.first_pause = FIRST_RETRANSMIT_SECONDS
+        flow.retransmitted = False
+        flow.repeated_at = 0
+        flow.repeated_seq = -1
+        flow.probed_at = 0
+        if not flow.unanswered_since:
+            flow.unanswered_since = now
+            flow.upstream.begin_request(flow.endpoint, now)
+            flow.in_progress = flow.upstream.limiter.in_progress
+
+    def handle_retransmission(
+        self,
+        flow: TrackedFlow,
+        packet: Packet,
+        now: float,
+        *,
+        is_after_probe: bool,
+    ) -> None:
+        """Record data that the client sends again."""
+        if not flow.repeated_at:
+            flow.repeated_at = now
+            flow.repeated_seq = packet.seq
+        if packet.seq != flow.repeated_seq:
+            return
+        flow.upstream.health.record_retransmission(
+            packet.flow,
+            flow.unanswered_since,
+            now,
+            due_at=flow.due_at,
+            is_after_probe=is_after_probe,
+        )
+        self.report_repeat(packet, flow, now)
 
     def report_repeat(
         self,
@@ -373,7 +446,6 @@
         now: float,
     ) -> None:
         """Report retransmitted data, if nodes share such evidence."""
-        flow.repeated_at = flow.repeated_at or now
         if self.silence is not None:
             self.silence.record_repeat(
                 flow.upstream,
--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -21,6 +21,7 @@
 from burdocksill.packets.losses import LostUpstreamDetector
 from burdocksill.packets.openings import PendingOpenings
 from burdocksill.packets.placement import PacketPlacer
+from burdocksill.packets.probes import PendingProbes
 from burdocksill.packets.routing import RoutingTable
 from burdocksill.packets.upstreams import (
     REGISTRATION_GRACE_SECONDS,
@@ -61,6 +62,7 @@
         'openings',
         'pending_resets',
         'placer',
+        'probes',
         'refused_for_load',
         'table',
         'unknown_echoes',
@@ -93,6 +95,7 @@
         # Latest opening of each client, by client, address and port.
         self.latest_openings: dict[tuple[int, int, int], FlowKey] = {}
         self.openings: PendingOpenings = PendingOpenings()
+        self.probes: PendingProbes = PendingProbes()
         self.losses: LostUpstreamDetector = LostUpstreamDetector(
             upstreams=upstreams, flows=flows
         )
@@ -260,7 +263,10 @@
         if upstream.health.is_flow_lost(packet.flow):
             upstream.health.eject(now)
             return self.reset(packet, Reason.FLOW_SILENT, upstream)
-        return self.forward(payload, upstream, Reason.FOLLOWED)
+        verdict = self.forward(payload, upstream, Reason.FOLLOWED)
+        if packet.length and flow.sent_at == now and not flow.retransmitted:
+            self.probes.add(flow, verdict, now)
+        return verdict
 
     def reject_unknown_echo(self, packet: Packet, now: float) -> Verdict:
         """Reset a flow whose upstream is certainly unknown, else drop.
--- a/burdocksill/packets/health.py
+++ b/burdocksill/packets/health.py
@@ -23,8 +23,10 @@
 # client, so that no node sees it. A single client may have given up on its own.
 MIN_REFUSALS: Final = 2
 # An upstream is unresponsive when this many flows have retransmitted their data
-# this often. A living upstream acknowledges the first retransmission, however
-# long it works on the request, so that there is no second.
+# after a copy that a living upstream would have acknowledged at once, however
+# long it works on the request: a retransmission or a probe. With all its slots
+# busy an upstream answers nothing for as long as its requests take, so that
+# neither the time without an answer nor first retransmissions show a failure.
 MIN_CERTAIN_FLOWS: Final = 2
 CERTAIN_RETRANSMISSIONS: Final = 2
 # A flow that has retransmitted this often, while no flow of its upstream got an
@@ -33,32 +35,21 @@
 # upstream, rarely two unanswered ones together, and clients ran into their
 # deadlines without this rule.
 LOST_FLOW_RETRANSMISSIONS: Final = 3
-# An upstream is unresponsive sooner, after one retransmission, when this many
-# flows have sent one and no flow was answered for this time and for this many
-# times the usual answer time. Whatever clients send to it meanwhile is lost.
-GROUP_FLOWS: Final = 3
-GROUP_MIN_SECONDS: Final = 0.25
-GROUP_ANSWER_FACTOR: Final = 6.0
+# New flows prefer other upstreams while this many flows retransmit.
 PAIR_FLOWS: Final = 2
-PAIR_MIN_SECONDS: Final = 0.4
-PAIR_ANSWER_FACTOR: Final = 9.0
 # The usual answer time is a moving 0.2 quantile: four of five answers take
 # longer, as a decrease is four times an increase. A mean or a median would be
 # too high: clients acknowledge every second packet, so that the end of an
 # answer of one packet may be seen only after its retransmission. Until the
-# first answer the time is infinite and nothing is concluded from a wait.
+# first answer the time is infinite and a probe proves nothing.
 QUANTILE_INCREASE: Final = 1.02
 QUANTILE_DECREASE: Final = 1 / 1.08
 UNKNOWN_ANSWER_SECONDS: Final = float('inf')
 # Bounds the memory for each upstream.
 MAX_UNANSWERED_FLOWS: Final = 16
-# Under load all answers queue. A client's wait proves nothing until it is this
-# many times the recent answer time of the service.
-QUEUED_ANSWER_FACTOR: Final = 3.0
-# An upstream whose store entry has expired is lost when a client has waited for
-# this many times the recent answer time, or has retransmitted twice. One
-# retransmission is not enough: with long queues, clients of a living upstream
-# send one, too.
+# An upstream whose store entry has expired is lost when a client that still
+# retransmits has waited for this many times the recent answer time, or when its
+# upstream did not acknowledge a copy.
 EXPIRED_ANSWER_FACTOR: Final = 3.0
 # Earlier than any time: no flow has arrived from another node.
 NEVER_MOVED: Final = float('-inf')
@@ -67,11 +58,16 @@
 class UnansweredFlow:
     """Hold a flow whose client retransmits: its wait and how often."""
 
-    __slots__ = ('due_at', 'last_at', 'retransmissions', 'since')
+    __slots__ = ('due_at', 'is_certain', 'last_at', 'retransmissions', 'since')
 
-    def __init__(self, *, since: float, last_at: float, due_at: float) -> None:
+    def __init__(
+        self, *, since: float, last_at: float, due_at: float, is_certain: bool
+    ) -> None:
         """Store the arguments; `since` is when the wait began."""
         self.since = since
+        # True when a living upstream would have acknowledged a copy that was
+        # sent before the latest retransmission.
+        self.is_certain = is_certain
         # When the client's latest retransmission arrived.
         self.last_at = last_at
         # When the next one is overdue. A client that is still waiting has sent
@@ -84,13 +80,11 @@
         """Return True when the client still waits, or waited too long.
 
         `moved_in_at` is when a flow last arrived from another node. Routers may
-        have moved this flow away at that time, and its answer with it. Two
-        retransmissions remain evidence, as an upstream that is alive would have
-        acknowledged the first.
+        have moved this flow away at that time, and its answer with it. A copy
+        that was not acknowledged before remains evidence.
         """
         return self.due_at >= now and (
-            self.last_at >= moved_in_at
-            or self.retransmissions >= CERTAIN_RETRANSMISSIONS
+            self.last_at >= moved_in_at or self.is_certain
         )
 
     def known_seconds(self, now: float, moved_in_at: float) -> float:
@@ -171,11 +165,15 @@
         flow: tuple[int, ...],
         since: float,
         now: float,
+        *,
         due_at: float,
+        is_after_probe: bool,
     ) -> None:
         """Record a retransmission of data that was first sent at `since`.
 
         If its client is still waiting, the next one arrives before `due_at`.
+        `is_after_probe` tells that a living upstream would have acknowledged a
+        probe before.
         """
         if since <= self.last_answer_at:
             return
@@ -184,12 +182,19 @@
             entry.retransmissions += 1
             entry.last_at = now
             entry.due_at = due_at
+            entry.is_certain = entry.is_certain or (
+                is_after_probe
+                or entry.retransmissions >= CERTAIN_RETRANSMISSIONS
+            )
             return
         if len(self.unanswered_flows) >= MAX_UNANSWERED_FLOWS:
             self.remove_overdue(now)
         if len(self.unanswered_flows) < MAX_UNANSWERED_FLOWS:
             self.unanswered_flows[flow] = UnansweredFlow(
-                since=since, last_at=now, due_at=due_at
+                since=since,
+                last_at=now,
+                due_at=due_at,
+                is_certain=is_after_probe,
             )
 
     def remove_overdue(self, now: float) -> None:
@@ -238,8 +243,7 @@
         """
         longest = recent * EXPIRED_ANSWER_FACTOR or float('inf')
         return any(
-            flow.retransmissions >= CERTAIN_RETRANSMISSIONS
-            or flow.known_seconds(now, moved_in_at) >= longest
+            flow.is_certain or flow.known_seconds(now, moved_in_at) >= longest
             for flow in self.waiting_flows(now, moved_in_at)
         )
 
@@ -251,33 +255,12 @@
             and entry.retransmissions >= LOST_FLOW_RETRANSMISSIONS
         )
 
-    def is_unresponsive(
-        self,
-        now: float,
-        recent: float,
-        moved_in_at: float,
-    ) -> bool:
+    def is_unresponsive(self, now: float, moved_in_at: float) -> bool:
         """Return True when clients' packets show that its flows are lost.
 
-        `recent` is the recent answer time of its service in seconds, 0 if
-        unknown; `moved_in_at` as in `UnansweredFlow.is_evidence`.
+        `moved_in_at` as in `UnansweredFlow.is_evidence`.
         """
-        if len(self.unanswered_flows) < PAIR_FLOWS:
+        if len(self.unanswered_flows) < MIN_CERTAIN_FLOWS:
             return False
         flows = self.waiting_flows(now, moved_in_at)
-        if len(flows) < PAIR_FLOWS:
-            return False
-        certain = [
-            flow
-            for flow in flows
-            if flow.retransmissions >= CERTAIN_RETRANSMISSIONS
-        ]
-        if len(certain) >= MIN_CERTAIN_FLOWS:
-            return True
-        waited = max(flow.known_seconds(now, moved_in_at) for flow in flows)
-        if waited < recent * QUEUED_ANSWER_FACTOR:
-            return False
-        answer = self.answer_seconds
-        if len(flows) < GROUP_FLOWS:
-            return waited >= max(PAIR_MIN_SECONDS, answer * PAIR_ANSWER_FACTOR)
-        return waited >= max(GROUP_MIN_SECONDS, answer * GROUP_ANSWER_FACTOR)
+        return sum(flow.is_certain for flow in flows) >= MIN_CERTAIN_FLOWS
--- a/burdocksill/packets/losses.py
+++ b/burdocksill/packets/losses.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 
 from burdocksill.packets.flows import FlowTable
-from burdocksill.packets.health import EXPIRED_ANSWER_FACTOR, GROUP_MIN_SECONDS
+from burdocksill.packets.health import EXPIRED_ANSWER_FACTOR
 from burdocksill.packets.upstreams import (
     KnownUpstream,
     RegistrationState,
@@ -19,6 +19,13 @@
 )
 from burdocksill.packets.verdicts import Reason
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Final
+
+# Longer than a client takes to retransmit for the first time.
+MIN_OVERDUE_SECONDS: Final = 0.25
+
 
 class LostUpstreamDetector:
     """Decide whether the flows on an upstream are lost."""
@@ -45,8 +52,8 @@
         health = upstream.health
         if upstream.is_replaced:
             return Reason.UPSTREAM_REPLACED
-        recent = upstream.limiter.recent_seconds
-        if health.is_unresponsive(now, recent, self.flows.moved_in_at):
+        moved_in_at = self.flows.moved_in_at
+        if health.is_unresponsive(now, moved_in_at):
             # After the reset of its flows no packets would show that it is
             # unresponsive, and without flows it would look the least loaded.
             health.eject(now)
@@ -54,13 +61,12 @@
         registration_state = self.upstreams.registration_state(upstream, now)
         if (
             registration_state is RegistrationState.GONE
-            and health.waiting_flows(now, self.flows.moved_in_at)
+            and health.waiting_flows(now, moved_in_at)
         ):
             return Reason.UPSTREAM_GONE
         expired = self.upstreams.stopped_renewing(upstream)
-        if expired and health.has_overdue_flow(
-            now, recent, self.flows.moved_in_at
-        ):
+        recent = upstream.limiter.recent_seconds
+        if expired and health.has_overdue_flow(now, recent, moved_in_at):
             return Reason.UPSTREAM_GONE
         return None
 
@@ -84,5 +90,5 @@
         recent = upstream.limiter.recent_seconds
         if self.flows.is_backlogged or not recent or upstream.is_registered:
             return False
-        longest = max(recent * EXPIRED_ANSWER_FACTOR, GROUP_MIN_SECONDS)
-        return self.flows.has_waited_since(upstream, now - longest)
+        longest = max(recent * EXPIRED_ANSWER_FACTOR, MIN_OVERDUE_SECONDS)
+        return self.flows.has_waited(upstream, longest, now)
--- a/burdocksill/packets/verdicts.py
+++ b/burdocksill/packets/verdicts.py
@@ -13,6 +13,7 @@
     OPENED = 'opened'
     OPENED_ELSEWHERE = 'opened-elsewhere'
     FOLLOWED = 'followed'
+    PROBED = 'probed'
     OPENING_MISSED = 'opening-missed'
     MALFORMED = 'malformed'
     NO_ROUTE = 'no-route'
--- a/burdocksill_lab/packets/client.py
+++ b/burdocksill_lab/packets/client.py
@@ -65,6 +65,8 @@
     # True if a node reset the flow, not an upstream.
     system_reset: bool = False
     waiting: Request | None = None
+    # True once the upstream has acknowledged the data of `waiting`.
+    acknowledged: bool = False
     requests: list[Request] = attrs.field(factory=list)
     # Called with each request that has ended.
     on_end: Callable[['ClientFlow', Request], None] | None = None
@@ -74,6 +76,7 @@
         sent = Request(sent_at=self.timeline.now)
         self.requests.append(sent)
         self.waiting = sent
+        self.acknowledged = False
         self.timeline.after(self.deadline, lambda: self.expire(sent))
         if self.ended:
             self.end_request(Outcome.RESET)
@@ -104,8 +107,8 @@
             self.end_request(Outcome.NOT_OPENED)
 
     def send_data(self, sent: Request, pause: float) -> None:
-        """Send the request's data; retransmit until it is answered."""
-        if self.waiting is not sent or self.ended:
+        """Send the request's data; retransmit until it is acknowledged."""
+        if self.waiting is not sent or self.ended or self.acknowledged:
             return
         self.packet(ACK, ack=self.ack, length=REQUEST_BYTES)
         next_pause = min(pause * 2, MAX_RETRANSMIT_SECONDS)
@@ -121,7 +124,10 @@
         self.echo = packet.echo
         if packet.flags & SYN:
             self.handle_opening_answer(packet)
-        elif packet.length and packet.seq == self.ack:
+            return
+        if packet.ack == self.seq + REQUEST_BYTES:
+            self.acknowledged = True
+        if packet.length and packet.seq == self.ack:
             self.handle_answer(packet)
 
     def handle_reset(self, packet: Packet) -> None:
--- a/burdocksill_lab/packets/world.py
+++ b/burdocksill_lab/packets/world.py
@@ -71,6 +71,8 @@
     # A paused node handles nothing; datagrams queue in `backlog`.
     is_paused: bool = False
     backlog: list[bytes] = attrs.field(factory=list)
+    # When `handle_due` runs next.
+    scheduled_at: float = 0
 
     def receive(self, payload: bytes, _: Address) -> None:
         """Handle a datagram at once, or queue it while the node is paused."""
@@ -78,18 +80,22 @@
             self.backlog.append(payload)
         elif self.alive:
             self.core.handle(payload, self.timeline.now)
-            self.schedule_expiry()
-
-    def schedule_expiry(self) -> None:
-        """Schedule the next expiry of unanswered opening packets."""
-        wait = self.core.seconds_until_due(self.timeline.now)
-        if not math.isinf(wait):
-            self.timeline.after(wait, self.expire_openings)
-
-    def expire_openings(self) -> None:
-        """Expire overdue openings, as a node with an empty socket does."""
+            self.schedule_due()
+
+    def schedule_due(self) -> None:
+        """Schedule the next work that does not wait for a packet."""
+        now = self.timeline.now
+        due_at = now + self.core.seconds_until_due(now)
+        is_scheduled = now < self.scheduled_at <= due_at
+        if not math.isinf(due_at) and not is_scheduled:
+            self.scheduled_at = due_at
+            self.timeline.after(due_at - now, self.handle_due)
+
+    def handle_due(self) -> None:
+        """Do the work that is due, as a node with an empty socket does."""
         if self.alive and not self.is_paused:
-            self.core.expire_openings(self.timeline.now)
+            self.core.handle_due(self.timeline.now)
+            self.schedule_due()
 
     def resume(self) -> None:
         """Resume after a pause and handle the backlog at once."""
