Keep flows whose upstream's entry was overwritten before a node started

Cause: "no entry that I can read names this echo" was kept as "no upstream has this echo". The key of the unreadable entry names the upstream all the same, and only its removal shows that the upstream has left.

Change: the registry keeps the echoes of unreadable entries that it reads, until they are written again or removed. Packets with such an echo are dropped, so that clients retransmit, and not answered with a reset.

--- a/burdocksill/packets/forwarder.py
+++ b/burdocksill/packets/forwarder.py
@@ -274,7 +274,8 @@
         The upstream may be newer than the last read of the store, or its entry
         may have expired during a store outage. So the store must have answered
         for as long as an entry takes to be restored, and must have been read
-        after the first packet with this echo.
+        after the first packet with this echo. An entry that another writer has
+        overwritten tells nothing about its upstream.
         """
         if len(self.unknown_echoes) >= MAX_UNKNOWN_ECHOES:
             self.unknown_echoes.clear()
@@ -284,6 +285,7 @@
         if (
             self.is_registry_settled(now)
             and self.freshness.synced_at > first_seen_at
+            and packet.echo not in self.upstreams.unreadable.values()
         ):
             return self.reset(packet, Reason.UNKNOWN_ECHO)
         return Drop(Reason.UNKNOWN_ECHO)
--- a/burdocksill/packets/messages.py
+++ b/burdocksill/packets/messages.py
@@ -210,18 +210,23 @@
 
 
 class UpstreamUnreadable(Value):
-    """An upstream's entry was overwritten with one that names no upstream."""
+    """An upstream's entry was overwritten with one that names no upstream.
 
-    __slots__ = ('cause', 'name')
+    `tag` is that of the upstream whose key it is, None if the key has none.
+    """
+
+    __slots__ = ('cause', 'name', 'tag')
 
     def __init__(
         self,
         name: str,
         cause: str,
+        tag: int | None = None,
     ) -> None:
         """Store the arguments."""
         self.name = name
         self.cause = cause
+        self.tag = tag
 
 
 class ReaderUpdate(Value):
--- a/burdocksill/packets/updater.py
+++ b/burdocksill/packets/updater.py
@@ -231,7 +231,7 @@
 
     def withdraw_upstream(self, update: UpstreamUnreadable) -> None:
         """Place no new flows on an upstream whose entry is unreadable."""
-        if self.upstreams.withdraw(update.name):
+        if self.upstreams.withdraw(update.name, update.tag):
             logger.warning(
                 'upstream withdrawn',
                 extra={'upstream': update.name, 'cause': update.cause},
--- a/burdocksill/packets/upstreams.py
+++ b/burdocksill/packets/upstreams.py
@@ -132,13 +132,13 @@
         return now < self.cold_until
 
 
-def echo_of(record: UpstreamRecord) -> int:
+def echo_of(tag: int) -> int:
     """Return the 32-bit number that names an upstream in packet headers.
 
     Tags are random, so their low bits are as unique as a hash, and all nodes
     derive the same number without shared state.
     """
-    return record.tag & ECHO_MASK
+    return tag & ECHO_MASK
 
 
 class UpstreamRegistry:
@@ -154,6 +154,7 @@
         'make_limiter',
         'replaced',
         'store_healthy_since',
+        'unreadable',
     )
 
     def __init__(
@@ -166,6 +167,9 @@
         self.by_echo: dict[int, KnownUpstream] = {}
         # The process that was started last at each address.
         self.by_address: dict[tuple[str, int], KnownUpstream] = {}
+        # Echoes of the upstreams whose entries can't be read, by name. They may
+        # live, although this node has never read an entry of theirs.
+        self.unreadable: dict[str, int] = {}
         # Upstreams that were replaced, or whose entry expired, and that were
         # not returned by pop_replaced() or pop_expired() yet.
         self.replaced: list[KnownUpstream] = []
@@ -190,6 +194,7 @@
         `replaces` is False if the entry proves nothing about the upstream that
         had its address before.
         """
+        self.unreadable.pop(record.name, None)
         upstream = self.by_name.get(record.name)
         if upstream is None or upstream.record.started_at != record.started_at:
             self.add_process(record, now, replaces=replaces)
@@ -223,7 +228,7 @@
             self.remove_candidate(previous)
         upstream = KnownUpstream(
             record=record,
-            echo=echo_of(record),
+            echo=echo_of(record.tag),
             first_seen_at=now,
             limiter=self.limiters.setdefault(
                 record.service,
@@ -323,6 +328,7 @@
 
     def mark_absent(self, name: str, now: float) -> bool:
         """Record that an entry was removed; return False if it was absent."""
+        self.unreadable.pop(name, None)
         upstream = self.by_name.get(name)
         if upstream is None or upstream.absent_since:
             return False
@@ -332,8 +338,10 @@
             self.expired.append(upstream)
         return True
 
-    def withdraw(self, name: str) -> bool:
+    def withdraw(self, name: str, tag: int | None = None) -> bool:
         """Place no new flows on an upstream; return True if this is new."""
+        if tag is not None:
+            self.unreadable[name] = echo_of(tag)
         upstream = self.by_name.get(name)
         if upstream is None or upstream.is_withdrawn:
             return False
--- a/burdocksill/platform/records.py
+++ b/burdocksill/platform/records.py
@@ -159,7 +159,7 @@
     try:
         return UpstreamUpdate(read_upstream(name, value))
     except RecordInvalidError as error:
-        return UpstreamUnreadable(name, cause=str(error))
+        return UpstreamUnreadable(name, cause=str(error), tag=find_tag(name))
 
 
 def read_route(found: dict[str, Any]) -> Route:
@@ -262,6 +262,14 @@
     return tag
 
 
+def find_tag(name: str) -> int | None:
+    """Return the tag of an upstream's name, None if it has none."""
+    try:
+        return read_tag(name)
+    except ValueError:
+        return None
+
+
 def read_host(text: str) -> str:
     """Return an IPv4 address; raise ValueError for any other text.
 
--- a/tests/packets/foreign_entries.feature
+++ b/tests/packets/foreign_entries.feature
@@ -116,6 +116,38 @@
       | with invalid bytes |
       | without Slots      |
 
+  Scenario Outline: A node that starts beside an overwritten entry ends no flow
+    # Guards against resets by a node that never read the upstream's own entry.
+    Given a domain "a" with 1 node and 2 upstreams
+    And 6 open flows in "a"
+    When the entry of one upstream is overwritten <how>
+    And the node of "a" is restarted
+    And 3 seconds pass
+    And every flow sends a request
+    And 0.3 seconds pass
+    And all entries are written again
+    And 0.8 seconds pass
+    Then every request is served
+    And no flow was ended by a node
+
+    Examples:
+      | how                |
+      | with invalid bytes |
+      | without Slots      |
+
+  Scenario: A node that starts beside an overwritten entry notices its end
+    # Guards against flows that wait for good for an upstream that has ended.
+    Given a domain "a" with 1 node and 2 upstreams
+    And 8 open flows in "a"
+    When an upstream stops answering
+    And its entry is overwritten by another program
+    And the node of "a" is restarted
+    And its entry is removed
+    And 3 seconds pass
+    And every flow sends a request
+    And 0.5 seconds pass
+    Then all flows on it were ended by a node
+
   Scenario: An upstream whose entry is overwritten and removed is lost
     # Guards against an overwritten entry that hides the end of its upstream.
     Given a domain "a" with 1 node and 2 upstreams
