Let no peer's older time replace a failed call to the store

Cause: a node whose call to the store has failed holds 0 as the time since when the store works. A peer that had no call in progress still told of 20 s of a working store, and the later one of 0 and that time won. So an entry that lapsed in the outage counted as one that was not renewed, which ends flows.

Change: the time of a peer counts from the last failed call of this node on, at the earliest.

Measured: "A peer that has not noticed an outage does not hide it" in registry.feature fails on the code before and passes now.

--- a/burdocksill/packets/updater.py
+++ b/burdocksill/packets/updater.py
@@ -41,6 +41,7 @@
         'placer',
         'readers',
         'restore_policy',
+        'store_failed_at',
         'table',
         'upstreams',
     )
@@ -63,6 +64,8 @@
         # True once the time since which the store has worked is known from a
         # peer or from an outage, and not only from this node's start.
         self.has_adopted_healthy_since = False
+        # When a call of this node to the store failed last.
+        self.store_failed_at = float('-inf')
         self.restore_policy = RestorePolicy(
             domains_out=placer.domains_out, upstreams=upstreams
         )
@@ -115,14 +118,17 @@
 
         The first time of a peer replaces this node's own, which only says when
         the node started. After that the later time wins, because a node
-        without a call in progress does not notice an outage.
+        without a call in progress does not notice an outage. The peer may be
+        such a node, so that its time replaces no later failure of a call here.
         """
         known = (
             self.upstreams.store_healthy_since
             if self.has_adopted_healthy_since
             else 0
         )
-        self.upstreams.store_healthy_since = max(known, since)
+        self.upstreams.store_healthy_since = max(
+            known, since, self.store_failed_at
+        )
         self.has_adopted_healthy_since = True
 
     def begin_era(self, era: int, now: float) -> None:
@@ -237,13 +243,14 @@
                 extra={'upstream': update.name, 'cause': update.cause},
             )
 
-    def mark_store_unavailable(self) -> None:
+    def mark_store_unavailable(self, now: float) -> None:
         """Record a failed call to the store.
 
         Absences are counted from the next success. Routes stay in force, and
         the age of the store cache shows that they may be outdated.
         """
         self.upstreams.store_healthy_since = 0
+        self.store_failed_at = now
         self.has_adopted_healthy_since = True
 
     def decode_values(self, found: Snapshot) -> list[tuple[str, StoreUpdate]]:
--- a/burdocksill/packets/watcher.py
+++ b/burdocksill/packets/watcher.py
@@ -219,7 +219,8 @@
 
     def record_failure(self, error: BurdocksillError) -> None:
         """Record and log a failed call; the cached state stays in force."""
-        self.store_cache.updater.mark_store_unavailable()
+        now = self.store_cache.clock()
+        self.store_cache.updater.mark_store_unavailable(now)
         self.state_logger.log_change(
             'store lost',
             level=logging.WARNING,
--- a/tests/packets/registry.feature
+++ b/tests/packets/registry.feature
@@ -54,6 +54,18 @@
     And 0.8 seconds pass
     Then every request is served
 
+  Scenario: A peer that has not noticed an outage does not hide it
+    # Guards against an upstream whose entry lapsed in an outage, and whose flows
+    # were reset as those of one that has stopped.
+    Given a domain "a" with 1 node and 2 upstreams
+    And 4 open flows in "a"
+    When a peer tells that the store has worked for 20 seconds
+    And 4 seconds pass
+    And a call of the node of "a" to the store fails
+    And a peer tells that the store has worked for 24 seconds
+    And its entry is removed for one upstream
+    Then its entry may have lapsed in an outage
+
   Scenario: A node that has read a healthy store for long resets unknown flows
     # As above, but the upstreams are gone for good: clients get a reset at once
     # instead of waiting for their deadlines.
--- a/tests/steps/packets_restored.py
+++ b/tests/steps/packets_restored.py
@@ -166,7 +166,7 @@
 def lose(context: Context, seconds: int) -> None:
     """Let calls fail, then read that nothing has changed."""
     core = core_of(context)
-    core.updater.mark_store_unavailable()
+    core.updater.mark_store_unavailable(context.world.timeline.now)
     for _ in range(seconds):
         context.world.timeline.run(1.0)
         core.expire_idle(context.world.timeline.now)
--- a/tests/steps/packets_silence.py
+++ b/tests/steps/packets_silence.py
@@ -113,7 +113,7 @@
     world: PacketWorld = context.trial.deployment.world
     for node in world.nodes:
         node.receives_updates = False
-        node.core.updater.mark_store_unavailable()
+        node.core.updater.mark_store_unavailable(world.timeline.now)
     world.run(0.5)
     context.trial.silence_quarter()
     world.run(0.3)
--- a/tests/steps/packets_world.py
+++ b/tests/steps/packets_world.py
@@ -270,9 +270,10 @@
 @when('the node of "{domain}" is partitioned from the store')
 def partition_from_store(context: Context, domain: str) -> None:
     """Stop the changes of the store to a node, and fail its calls."""
+    world = world_of(context)
     node = node_of(context, domain)
     node.receives_updates = False
-    node.core.updater.mark_store_unavailable()
+    node.core.updater.mark_store_unavailable(world.timeline.now)
 
 
 @when('the node of "{domain}" is restarted')
@@ -325,13 +326,37 @@
     """Remove all entries, as after an outage of the store."""
     world = world_of(context)
     for node in world.nodes:
-        node.core.updater.mark_store_unavailable()
+        node.core.updater.mark_store_unavailable(world.timeline.now)
     for upstream in world.upstreams.values():
         del world.store[UPSTREAMS + upstream.name]
     for node in world.nodes:
         world.read_store(node)
 
 
+@when('a call of the node of "{domain}" to the store fails')
+def fail_call(context: Context, domain: str) -> None:
+    """Record a failure that no other node has noticed."""
+    updater = node_of(context, domain).core.updater
+    updater.mark_store_unavailable(world_of(context).timeline.now)
+
+
+@when('a peer tells that the store has worked for {seconds:d} seconds')
+def adopt(context: Context, seconds: int) -> None:
+    """Tell the first node what a peer without a call in progress knows."""
+    world = world_of(context)
+    updater = world.nodes[0].core.updater
+    updater.adopt_healthy_since(world.timeline.now - seconds)
+
+
+@then('its entry may have lapsed in an outage')
+def check_lapsed(context: Context) -> None:
+    """Check that the removal does not show that the upstream has stopped."""
+    known = world_of(context).nodes[0].core.updater.upstreams
+    upstream = known.by_name[context.selected.name]
+    assert upstream.absent_since
+    assert not known.stopped_renewing(upstream)
+
+
 @when('all entries are written again')
 def write_again(context: Context) -> None:
     """Register every upstream again."""
@@ -662,7 +687,8 @@
 def mark_store_unavailable(context: Context, domain: str) -> None:
     """Fail a call to the store, and deliver a change after it."""
     world = world_of(context)
-    node_of(context, domain).core.updater.mark_store_unavailable()
+    updater = node_of(context, domain).core.updater
+    updater.mark_store_unavailable(world.timeline.now)
     world.register(next(iter(world.upstreams.values())))
 
 
