Keep forwarding when a part fails that forwarding does not need

Cause: all tasks of a node shared one fate. An error anywhere cancelled the forwarding of packets, although the flows need none of the others.

Change: the watch of the store, the exchange with peers, the election, the probe of the store, the load reports, the pages and the expiry of old state run supervised: an error is logged (`part failed`, with cause and place), counted (`burdocksill_parts_failed_total`), and the part runs again a second later. A failed page is answered with 500, a peer's datagram that can't be handled is dropped, a reload that fails leaves the settings as they are, and so does a settings file that is not UTF-8. Errors of forwarding itself still end the process: a node that answers probes and forwards nothing would be worse.

Tests: supervision.feature.

--- a/burdocksill/packets/main.py
+++ b/burdocksill/packets/main.py
@@ -82,7 +82,7 @@
     """Run a node until SIGTERM, on the sockets that were bound early."""
     try:
         settings = read_settings()
-    except (BurdocksillError, OSError) as error:
+    except (BurdocksillError, OSError, UnicodeDecodeError) as error:
         sys.stderr.write(f'settings cannot be read: {error}\n')
         sys.exit(EXIT_BAD_SETTING)
     early_lines.writer = LineWriter(node=settings.name)
--- a/burdocksill/packets/metrics.py
+++ b/burdocksill/packets/metrics.py
@@ -5,6 +5,7 @@
 from burdocksill.observe.counters import Counters
 from burdocksill.packets.core import PacketCore
 from burdocksill.packets.load_table import LoadTable
+from burdocksill.packets.supervision import failures
 from burdocksill.packets.sync import StoreSync
 from burdocksill.platform.revisions import era_of, number_of
 
@@ -62,6 +63,9 @@
             increase = self.count_increase('load_rows', direction, count)
             self.counters.add('load_rows', increase, direction=direction)
         self.count_silence()
+        for part, count in failures.items():
+            increase = self.count_increase('failed', part, count)
+            self.counters.add('parts_failed', increase, part=part)
 
     def count_spilled(self) -> None:
         """Count new flows that left the own domain for lack of room."""
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -3,7 +3,6 @@
 import logging
 import signal
 import socket
-from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 import attrs
@@ -15,6 +14,7 @@
 from burdocksill.packets.core import PacketCore
 from burdocksill.packets.faststart import import_while_serving
 from burdocksill.packets.settings import PacketSettings
+from burdocksill.packets.supervision import Task, log_error, run_supervised
 from burdocksill.packets.sync import StoreSync
 
 EXPIRY_INTERVAL_SECONDS: Final = 1.0
@@ -23,11 +23,11 @@
 # A node in rotation receives several packets in this time.
 IDLE_SECONDS: Final = 0.4
 OK: Final = 200
+INTERNAL_ERROR: Final = 500
 UNAVAILABLE: Final = 503
 NOT_FOUND: Final = 404
 METRICS: Final = 'burdocksill.packets.metrics'
 
-Task = Callable[[], Awaitable[None]]
 logger = logging.getLogger(__name__)
 
 
@@ -55,9 +55,9 @@
             for task in tasks:
                 nursery.start_soon(task)
             nursery.start_soon(self.forward_packets)
-            nursery.start_soon(self.serve_pages)
+            nursery.start_soon(run_supervised, 'pages', self.serve_pages)
             nursery.start_soon(self.store_sync.run)
-            nursery.start_soon(self.expire_idle)
+            nursery.start_soon(run_supervised, 'expiry', self.expire_idle)
             await self.wait_for_stop()
             nursery.cancel_scope.cancel()
         logger.info('stopped')
@@ -108,14 +108,17 @@
 
     async def serve_stream(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
-        await serve_connection(stream, self.page)
+        with log_error('page'):
+            await serve_connection(stream, self.page)
 
     async def page(self, target: str) -> HttpReply:
         """Return the response for a path."""
         if target == '/-/ready':
             return HttpReply(status=OK if self.is_ready else UNAVAILABLE)
         if target == '/-/metrics':
-            return HttpReply(status=OK, body=self.metrics().encode())
+            with log_error('metrics'):
+                return HttpReply(status=OK, body=self.metrics().encode())
+            return HttpReply(status=INTERNAL_ERROR)
         return HttpReply(status=NOT_FOUND)
 
     def metrics(self) -> str:
--- a/burdocksill/packets/reload.py
+++ b/burdocksill/packets/reload.py
@@ -13,6 +13,7 @@
 from burdocksill.observe.lines import StateLogger
 from burdocksill.packets.node import PacketNode
 from burdocksill.packets.settings import PacketSettings
+from burdocksill.packets.supervision import log_error
 
 # Polling interval: the file may change without a signal.
 POLL_SECONDS: Final = 2.0
@@ -48,13 +49,15 @@
                 with trio.move_on_after(POLL_SECONDS):
                     await anext(signals)
                     logger.info('reload', extra={'cause': 'SIGHUP'})
-                await self.check_file()
+                # Without this receiver a SIGHUP would end the process.
+                with log_error('reload'):
+                    await self.check_file()
 
     async def check_file(self) -> None:
         """Read the file and apply changes; ignore a file that is invalid."""
         try:
             found = self.read()
-        except (BurdocksillError, OSError) as error:
+        except (BurdocksillError, OSError, UnicodeDecodeError) as error:
             self.state_logger.log_change(
                 'settings unreadable',
                 level=logging.WARNING,
--- a/burdocksill/packets/sync.py
+++ b/burdocksill/packets/sync.py
@@ -17,6 +17,7 @@
 from burdocksill.packets.silence import SilenceDetector, SilenceJudge
 from burdocksill.packets.store_cache import StoreCache
 from burdocksill.packets.store_probe import StoreProbe
+from burdocksill.packets.supervision import Task, run_supervised
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.packets.watcher import StoreWatcher
 from burdocksill.platform.keys import READERS
@@ -114,17 +115,29 @@
         return {'sent': silence.sent, 'received': silence.received}
 
     async def run(self) -> None:
-        """Watch the store and exchange updates with peers until cancelled."""
+        """Watch the store and exchange updates with peers until cancelled.
+
+        An error in one task ends no other one, nor the forwarding of packets.
+        """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.watcher.run)
-            if self.sharing is not None:
-                nursery.start_soon(self.sharing.exchange.receive)
-                nursery.start_soon(self.sharing.exchange.request_updates)
-                nursery.start_soon(self.sharing.exchange.publish_observations)
-                if self.sharing.exchange.loads is not None:
-                    nursery.start_soon(self.sharing.exchange.loads.run)
-                nursery.start_soon(self.sharing.election_task.run)
-                nursery.start_soon(self.sharing.probe.run)
+            for name, task in self.tasks().items():
+                nursery.start_soon(run_supervised, name, task)
+
+    def tasks(self) -> dict[str, Task]:
+        """Return the tasks by the names under which their errors are logged."""
+        tasks: dict[str, Task] = {'store watch': self.watcher.run}
+        if self.sharing is not None:
+            exchange = self.sharing.exchange
+            tasks |= {
+                'peer datagrams': exchange.receive,
+                'update requests': exchange.request_updates,
+                'observations': exchange.publish_observations,
+                'reader election': self.sharing.election_task.run,
+                'store probe': self.sharing.probe.run,
+            }
+            if exchange.loads is not None:
+                tasks['load reports'] = exchange.loads.run
+        return tasks
 
     async def leave(self) -> None:
         """Give up the reader's lease, as this node stops."""
--- a/burdocksill/readers/exchange.py
+++ b/burdocksill/readers/exchange.py
@@ -9,8 +9,9 @@
 
 from burdocksill.exceptions import BurdocksillError
 from burdocksill.network.addresses import Address
-from burdocksill.network.protocols import DatagramSocket
+from burdocksill.network.protocols import Datagram, DatagramSocket
 from burdocksill.observe.lines import StateLogger
+from burdocksill.packets.supervision import log_error
 from burdocksill.platform.values import StoredValue
 from burdocksill.readers.datagrams import (
     Message,
@@ -102,14 +103,19 @@
         """Handle datagrams of other nodes until cancelled."""
         while True:
             for datagram in await self.socket.receive():
-                message = decode(datagram.payload, self.observations.clock())
-                if message is None:
-                    logger.warning(
-                        'datagram unreadable',
-                        extra={'peer': str(datagram.peer)},
-                    )
-                else:
-                    self.handle(message, datagram.peer)
+                with log_error('peer datagram'):
+                    self.handle_datagram(datagram)
+
+    def handle_datagram(self, datagram: Datagram) -> None:
+        """Decode and handle a datagram of another node."""
+        message = decode(datagram.payload, self.observations.clock())
+        if message is None:
+            logger.warning(
+                'datagram unreadable',
+                extra={'peer': str(datagram.peer)},
+            )
+        else:
+            self.handle(message, datagram.peer)
 
     def handle(self, message: Message, sender: Address) -> None:
         """Handle a message of another node."""
