Tell loads of many services in several datagrams

Cause: the rows that fit beside the groups were computed from the number of all groups, so that the capacity reached 0 at 74 groups (61 in a node's own report) and then fell below, although no datagram holds more than 48. The same number hid a second fault: groups above the 48th were left out without a word, always the same ones, and a service that nobody tells of counts as idle. That began at 15 services in three domains.

Change: groups are told in turn like rows, at most 48 a datagram; `rounds` covers both. Receivers keep what a datagram leaves out until it lapses, and take services as unknown, not as idle, where not all were told. A summary always holds the numbers of all nodes and of its own domain's.

Related: more than 128 notices of silence in one datagram, which every receiver rejects, are sent in several. Looked at: observations (split), updates (bounded, else read from the store), divisors in balancing, slow start, outliers, fair admission and sums (all 1 or more).

--- a/burdocksill/packets/load_table.py
+++ b/burdocksill/packets/load_table.py
@@ -10,6 +10,7 @@
     ALL_NODES,
     PERIOD_SECONDS,
     LoadSummary,
+    ToldGroups,
     UpstreamLoad,
     domain_number,
     group_number,
@@ -128,11 +129,11 @@
         self.local_load = local_load
         self.told: dict[int, ToldLoad] = {}
         # Requests in progress of services and numbers of nodes.
-        self.groups: dict[int, int] = {}
+        self.groups = ToldGroups()
         # Times of the last summary and of the oldest report in it.
         self.summed_at = float('-inf')
         self.reported_at = float('-inf')
-        # Number of summaries in which each upstream with load is told once.
+        # Number of summaries in which each upstream and service is told once.
         self.rounds: int = 1
         # Number of summaries since the load was last unknown.
         self.received_in_row: int = 0
@@ -189,7 +190,7 @@
         )
 
     def is_complete(self) -> bool:
-        """Return True when all upstreams with load have been told."""
+        """Return True when all upstreams and services have been told."""
         return self.rounds <= min(self.received_in_row, MAX_ROUNDS)
 
     def spare_slots(
@@ -199,7 +200,10 @@
         if not self.is_current(now) or not self.nodes_of(domain):
             return None
         group = group_number(service, domain)
-        return self.slots(service, domain) - self.groups.get(group, 0)
+        waiting = self.groups.sums.get(group)
+        if waiting is None and not self.is_complete():
+            return None
+        return self.slots(service, domain) - (waiting or 0)
 
     def slots(self, service: str, domain: str) -> int:
         """Return the slots of the upstreams that accept new flows."""
@@ -210,19 +214,19 @@
 
     def nodes_of(self, domain: str) -> int:
         """Return the number of nodes that a domain's reader counts, 0: none."""
-        return self.groups.get(domain_number(domain), 0)
+        return self.groups.sums.get(domain_number(domain), 0)
 
     def node_count(self, now: float) -> int | None:
         """Return the number of nodes of the deployment; None if unknown."""
         if not self.is_current(now):
             return None
-        return self.groups.get(ALL_NODES)
+        return self.groups.sums.get(ALL_NODES)
 
     def domain_nodes(self, domain: str, now: float) -> int | None:
         """Return the number of nodes of a domain; None if unknown."""
         if not self.is_current(now):
             return None
-        return self.groups.get(domain_number(domain))
+        return self.groups.sums.get(domain_number(domain))
 
     def record_placed(self, upstream: KnownUpstream, now: float) -> None:
         """Count a new flow until a summary includes it."""
@@ -246,22 +250,27 @@
         self.received_in_row += 1
         self.summed_at = now - delay
         self.reported_at = self.summed_at - summary.age_seconds
-        self.groups = summary.groups
         self.rounds = summary.rounds
-        self.store_rows(summary.rows)
+        self.store(summary)
         self.placed.remove_reported(self.summed_at)
         self.log_change(now)
         return True
 
-    def store_rows(self, rows: tuple[UpstreamLoad, ...]) -> None:
-        """Store the rows of the last summary."""
+    def store(self, summary: LoadSummary) -> None:
+        """Store the groups and rows of the last summary."""
         more_rounds = min(self.rounds, MAX_ROUNDS) - 1
-        if not more_rounds:
-            self.told.clear()
         lapses_at = (
             self.summed_at + MAX_AGE_SECONDS + more_rounds * PERIOD_SECONDS
         )
-        for row in rows:
+        self.groups.store(
+            summary.groups,
+            is_whole=self.rounds == 1,
+            now=self.summed_at,
+            lapses_at=lapses_at,
+        )
+        if not more_rounds:
+            self.told.clear()
+        for row in summary.rows:
             self.told[row.echo] = ToldLoad(row, self.reported_at, lapses_at)
 
     def find_implausible(self, summary: LoadSummary) -> str:
--- a/burdocksill/readers/load_messages.py
+++ b/burdocksill/readers/load_messages.py
@@ -118,6 +118,40 @@
         self.for_readers = for_readers
 
 
+class ToldGroups:
+    """Hold the sums of groups, which several datagrams may tell in turn."""
+
+    __slots__ = ('lapses_at', 'sums')
+
+    def __init__(self) -> None:
+        """Start without groups."""
+        self.sums: dict[int, int] = {}
+        self.lapses_at: dict[int, float] = {}
+
+    def store(
+        self,
+        told: dict[int, int],
+        *,
+        is_whole: bool,
+        now: float,
+        lapses_at: float,
+    ) -> None:
+        """Store what a datagram tells; keep others until they lapse.
+
+        `is_whole` is True if it tells all groups. Those that it leaves out have
+        no request in progress then.
+        """
+        if is_whole:
+            self.sums.clear()
+            self.lapses_at.clear()
+        for group, lapsed_at in list(self.lapses_at.items()):
+            if lapsed_at < now:
+                del self.lapses_at[group]
+                del self.sums[group]
+        self.sums.update(told)
+        self.lapses_at.update(dict.fromkeys(told, lapses_at))
+
+
 class TransitDelay:
     """Estimate how long datagrams of one sender were under way or waited.
 
--- a/burdocksill/readers/load_reports.py
+++ b/burdocksill/readers/load_reports.py
@@ -4,6 +4,7 @@
 and the sums of services to the other domains' readers.
 """
 
+from collections.abc import Callable, Collection, Sequence
 from random import Random
 from typing import Final
 
@@ -13,6 +14,7 @@
 from burdocksill.network.addresses import Address
 from burdocksill.network.clock import Clock
 from burdocksill.readers.load_messages import (
+    ALL_NODES,
     DELAY_WINDOW_SECONDS,
     JITTER_FRACTION,
     PERIOD_SECONDS,
@@ -27,6 +29,7 @@
     LoadSums,
 )
 from burdocksill.readers.load_wire import (
+    MAX_GROUPS,
     encode_report,
     encode_summary,
     report_capacity,
@@ -54,22 +57,72 @@
 
 
 @attrs.define(kw_only=True, eq=False, repr=False)
-class RowRotation:
-    """Choose the rows of a datagram, those that waited longest first."""
+class Rotation:
+    """Choose what a datagram tells: what waited longest first."""
 
     told_at: dict[int, float] = attrs.field(factory=dict)
 
     def choose(
-        self, rows: list[UpstreamLoad], capacity: int, now: float
-    ) -> tuple[UpstreamLoad, ...]:
-        """Return as many rows as fit, and remember them as told."""
-        if len(rows) > capacity:
-            rows.sort(key=lambda row: self.told_at.get(row.echo, 0))
-        chosen = rows[:capacity]
+        self, numbers: Collection[int], capacity: int, now: float
+    ) -> list[int]:
+        """Return as many numbers as fit, and remember them as told."""
+        chosen = list(numbers)
+        if len(chosen) > capacity:
+            chosen.sort(key=lambda number: self.told_at.get(number, 0))
+            chosen = chosen[:capacity]
         self.told_at = {
-            row.echo: self.told_at.get(row.echo, 0) for row in rows
-        } | {row.echo: now for row in chosen}
-        return tuple(chosen)
+            number: self.told_at.get(number, 0) for number in numbers
+        } | dict.fromkeys(chosen, now)
+        return chosen
+
+
+@attrs.frozen(kw_only=True)
+class Portion:
+    """Hold what one datagram tells of the groups and rows."""
+
+    groups: dict[int, int]
+    rows: tuple[UpstreamLoad, ...]
+    # Number of datagrams in which everything is told once.
+    rounds: int
+
+
+@attrs.define(kw_only=True, eq=False, repr=False)
+class Rotations:
+    """Choose the groups and rows of a series of datagrams."""
+
+    # Returns how many rows fit beside some groups.
+    row_capacity: Callable[[int], int]
+    groups: Rotation = attrs.field(factory=Rotation)
+    rows: Rotation = attrs.field(factory=Rotation)
+
+    def choose(
+        self,
+        groups: dict[int, int],
+        rows: Sequence[UpstreamLoad],
+        now: float,
+        *,
+        always: Collection[int] = (),
+    ) -> Portion:
+        """Return what fits into the next datagram.
+
+        `always` are the numbers of groups that each datagram tells.
+        """
+        fixed = [group for group in always if group in groups]
+        others = [group for group in groups if group not in fixed]
+        room = MAX_GROUPS - len(fixed)
+        chosen = fixed + self.groups.choose(others, room, now)
+        capacity = self.row_capacity(len(chosen))
+        by_echo = {row.echo: row for row in rows}
+        return Portion(
+            groups={group: groups[group] for group in chosen},
+            rows=tuple(
+                by_echo[echo]
+                for echo in self.rows.choose(by_echo, capacity, now)
+            ),
+            rounds=max(
+                rounds_of(len(others), room), rounds_of(len(rows), capacity)
+            ),
+        )
 
 
 @attrs.define(kw_only=True, eq=False, repr=False)
@@ -107,8 +160,16 @@
     send: Sender
     sums: LoadSums = attrs.field(factory=LoadSums)
     delays: TransitDelays = attrs.field(factory=TransitDelays)
-    report_rotation: RowRotation = attrs.field(factory=RowRotation)
-    summary_rotation: RowRotation = attrs.field(factory=RowRotation)
+    report_rotations: Rotations = attrs.field(
+        factory=lambda: Rotations(row_capacity=report_capacity)
+    )
+    summary_rotations: Rotations = attrs.field(
+        factory=lambda: Rotations(row_capacity=summary_capacity)
+    )
+    # Those of the sums for other domains' readers.
+    domain_rotations: Rotations = attrs.field(
+        factory=lambda: Rotations(row_capacity=summary_capacity)
+    )
     # Since when this node is its domain's reader; infinite while it is not.
     reader_since: float = float('inf')
     # The most nodes that reported lately, and when.
@@ -162,12 +223,12 @@
         """Return a report of what this node sees."""
         rows, groups = self.sink.collect(now)
         self.sink.record_reported(now)
-        capacity = report_capacity(len(groups))
+        portion = self.report_rotations.choose(groups, rows, now)
         return LoadReport(
             sent_at=now,
-            rounds=rounds_of(rows, capacity),
-            groups=groups,
-            rows=self.report_rotation.choose(rows, capacity, now),
+            rounds=portion.rounds,
+            groups=portion.groups,
+            rows=portion.rows,
         )
 
     def relay(self, now: float) -> None:
@@ -180,16 +241,7 @@
             if subscriber.expires_at >= now:
                 self.sent += len(summary.rows)
                 self.send(payload, address)
-        domain_sums = LoadSummary(
-            sent_at=now,
-            age_seconds=age,
-            groups={
-                domain_number(self.domain): len(self.sums.nodes),
-                **self.sums.sum_groups(),
-            },
-            for_readers=True,
-        )
-        payload = encode_summary(domain_sums)
+        payload = encode_summary(self.make_domain_sums(age, now))
         for domain, entry in self.directory.readers.items():
             if domain != self.domain and entry.reader is not None:
                 self.send(payload, entry.reader.address)
@@ -202,15 +254,35 @@
             group: GroupSlots(domain=domain, slots=slots, domains=domains)
             for group, (domain, slots) in found.items()
         }
-        groups = self.sums.sum_domains(self.domain, group_slots)
-        rows = self.sums.sum_rows(now)
-        capacity = summary_capacity(len(groups))
+        portion = self.summary_rotations.choose(
+            self.sums.sum_domains(self.domain, group_slots),
+            self.sums.sum_rows(now),
+            now,
+            always=(ALL_NODES, domain_number(self.domain)),
+        )
         return LoadSummary(
             sent_at=now,
             age_seconds=age,
-            groups=groups,
-            rounds=rounds_of(rows, capacity),
-            rows=self.summary_rotation.choose(rows, capacity, now),
+            groups=portion.groups,
+            rounds=portion.rounds,
+            rows=portion.rows,
+        )
+
+    def make_domain_sums(self, age: float, now: float) -> LoadSummary:
+        """Return the sums of services for other domains' readers."""
+        local_count = domain_number(self.domain)
+        portion = self.domain_rotations.choose(
+            {local_count: len(self.sums.nodes), **self.sums.sum_groups()},
+            (),
+            now,
+            always=(local_count,),
+        )
+        return LoadSummary(
+            sent_at=now,
+            age_seconds=age,
+            groups=portion.groups,
+            rounds=portion.rounds,
+            for_readers=True,
         )
 
     def handle(
@@ -250,6 +322,6 @@
                 self.sums.add_summary(domain, summary, summed_at)
 
 
-def rounds_of(rows: list[UpstreamLoad], capacity: int) -> int:
-    """Return the number of datagrams in which all rows are told once."""
-    return max(1, -(-len(rows) // capacity))
+def rounds_of(count: int, capacity: int) -> int:
+    """Return the number of datagrams in which all of a count are told once."""
+    return max(1, -(-count // capacity))
--- a/burdocksill/readers/load_sums.py
+++ b/burdocksill/readers/load_sums.py
@@ -13,6 +13,7 @@
     PERIOD_SECONDS,
     LoadReport,
     LoadSummary,
+    ToldGroups,
     UpstreamLoad,
     domain_number,
 )
@@ -114,20 +115,32 @@
     """Hold what one node reported last."""
 
     reported_at: float
-    groups: dict[int, int] = attrs.field(factory=dict)
+    told_groups: ToldGroups = attrs.field(factory=ToldGroups)
     # By echo, with the time after which they do not count.
     rows: dict[int, tuple[UpstreamLoad, float]] = attrs.field(factory=dict)
 
-    def apply(self, report: LoadReport, reported_at: float) -> None:
-        """Replace the groups, and the rows that are told anew."""
+    @property
+    def groups(self) -> dict[int, int]:
+        """Return the groups that it told last."""
+        return self.told_groups.sums
+
+    def apply(
+        self, report: LoadReport | LoadSummary, reported_at: float
+    ) -> None:
+        """Replace the groups and the rows that are told anew."""
         self.reported_at = reported_at
-        self.groups = report.groups
-        if report.rounds == 1:
-            self.rows.clear()
         more_rounds = min(report.rounds, MAX_ROUNDS) - 1
         lapses_at = (
             reported_at + REPORT_LIFE_SECONDS + more_rounds * PERIOD_SECONDS
         )
+        self.told_groups.store(
+            report.groups,
+            is_whole=report.rounds == 1,
+            now=reported_at,
+            lapses_at=lapses_at,
+        )
+        if report.rounds == 1:
+            self.rows.clear()
         for row in report.rows:
             self.rows[row.echo] = (row, lapses_at)
 
@@ -157,9 +170,8 @@
         self, domain: str, summary: LoadSummary, summed_at: float
     ) -> None:
         """Apply the sums of another domain."""
-        self.domains[domain] = NodeLoad(
-            reported_at=summed_at, groups=summary.groups
-        )
+        known = self.domains.setdefault(domain, NodeLoad(reported_at=summed_at))
+        known.apply(summary, summed_at)
 
     def remove_lapsed(self, now: float) -> None:
         """Remove reports and sums that are too old to count."""
--- a/burdocksill/readers/load_wire.py
+++ b/burdocksill/readers/load_wire.py
@@ -73,12 +73,12 @@
 
 
 def report_capacity(groups: int) -> int:
-    """Return how many rows a report with some groups holds."""
+    """Return how many rows a report with at most MAX_GROUPS groups holds."""
     return (MAX_REPORT_BYTES - REPORT.size - groups * GROUP.size) // ROW.size
 
 
 def summary_capacity(groups: int) -> int:
-    """Return how many rows a summary with some groups holds."""
+    """Return how many rows a summary with at most MAX_GROUPS groups holds."""
     return (MAX_SUMMARY_BYTES - SUMMARY.size - groups * GROUP.size) // ROW.size
 
 
--- a/burdocksill/readers/silence_reports.py
+++ b/burdocksill/readers/silence_reports.py
@@ -18,6 +18,7 @@
 from burdocksill.readers.protocols import DomainRole, Sender
 from burdocksill.readers.publisher import Publisher
 from burdocksill.readers.silence_wire import (
+    MAX_ENTRIES,
     encode_silence_notices,
     encode_silence_reports,
 )
@@ -92,10 +93,11 @@
         """Send notices to all subscribers, and follow them here."""
         now = self.clock()
         relayed = list(notices)
-        if relayed:
-            payload = encode_silence_notices(relayed, now)
+        for start in range(0, len(relayed), MAX_ENTRIES):
+            part = relayed[start : start + MAX_ENTRIES]
+            payload = encode_silence_notices(part, now)
             for address in self.publisher.subscribers:
-                self.sent += len(relayed)
+                self.sent += len(part)
                 self.send(payload, address)
         for notice in relayed:
             self.detector.handle_notice(notice)
--- a/tests/readers/exchange.feature
+++ b/tests/readers/exchange.feature
@@ -158,3 +158,9 @@
     # read the store.
     When changes of 2 MB that compress into a datagram are encoded
     Then they are left to the store
+
+  Scenario: More notices of silence than a datagram holds are all told
+    # Guards against a datagram that all receivers reject for its size.
+    Given a reader with 2 subscribers that finds 300 upstreams silent at once
+    When it tells them
+    Then each subscriber can read 300 notices
--- a/tests/readers/load_reports.feature
+++ b/tests/readers/load_reports.feature
@@ -119,6 +119,36 @@
       | 100   |
       | 300   |
 
+  Scenario Outline: Loads of many services are told in turn
+    Guards against sizes that follow from the number of services, and that end
+    the readers or hide services.
+    Given 6 nodes in 3 domains that report loads
+    And <services> services in 3 domains with a request in progress each
+    When <seconds> seconds go by
+    Then all nodes know the spare slots of each service
+    And 6 nodes are counted
+    And no part of a node has failed
+
+    Examples:
+      | services | seconds |
+      | 10       | 4       |
+      | 15       | 4       |
+      | 16       | 4       |
+      | 20       | 4       |
+      | 21       | 4       |
+      | 24       | 4       |
+      | 25       | 4       |
+      | 70       | 6       |
+
+  Scenario: Loads of more services than can be told are unknown
+    Guards against services that seem idle because nobody tells of them.
+    Given 6 nodes in 3 domains that report loads
+    And 400 services in 3 domains with a request in progress each
+    When 6 seconds go by
+    Then no node knows wrong spare slots of a service
+    And 6 nodes are counted
+    And no part of a node has failed
+
   Scenario: Without the feature nothing is reported
     Guards against decisions of a feature that is not asked for.
     Given 24 nodes in 2 domains that report nothing
--- a/tests/steps/readers_exchange.py
+++ b/tests/steps/readers_exchange.py
@@ -10,7 +10,7 @@
 from behave.runner import Context
 
 from burdocksill.network.addresses import Address
-from burdocksill.packets.silence import Evidence
+from burdocksill.packets.silence import Evidence, SilenceNotice
 from burdocksill.packets.store_cache import StoreCache
 from burdocksill.packets.updater import StateUpdater
 from burdocksill.platform.protocols import SwapResult
@@ -40,6 +40,7 @@
     encode_summary,
 )
 from burdocksill.readers.messages import Observation, Reader, ReaderEntry
+from burdocksill.readers.silence_reports import SilenceExchange
 from burdocksill.readers.silence_wire import MAX_ENTRIES
 from burdocksill.readers.subscription import Subscription
 from burdocksill.readers.wire import (
@@ -677,3 +678,39 @@
     known = context.node.core.updater.upstreams.by_name
     there = {name for name, one in known.items() if not one.absent_since}
     assert there == {context.staying.name, context.coming.name}, there
+
+
+@given(
+    'a reader with {nodes:d} subscribers that finds {count:d} upstreams '
+    'silent at once'
+)
+def make_silent(context: Context, nodes: int, count: int) -> None:
+    """Create the exchange of a reader with many decisions."""
+    context.told = {Address('127.0.0.1', one): [] for one in range(nodes)}
+    context.notices = [
+        SilenceNotice(echo=echo, at=0, is_confirmed=True)
+        for echo in range(count)
+    ]
+    context.silence = SilenceExchange(
+        role=mock.Mock(),
+        detector=mock.Mock(),
+        judge=mock.Mock(waiting=()),
+        publisher=mock.Mock(subscribers=dict.fromkeys(context.told)),
+        clock=lambda: 1.0,
+        send=lambda payload, peer: context.told[peer].append(payload),
+    )
+
+
+@when('it tells them')
+def tell(context: Context) -> None:
+    """Relay all notices in one go."""
+    context.silence.relay(context.notices)
+
+
+@then('each subscriber can read {count:d} notices')
+def check_told(context: Context, count: int) -> None:
+    """Decode what was sent to each."""
+    for payloads in context.told.values():
+        found = [decode(payload) for payload in payloads]
+        echoes = [one.echo for message in found for one in message.notices]
+        assert echoes == list(range(count)), len(echoes)
--- a/tests/steps/readers_load_reports.py
+++ b/tests/steps/readers_load_reports.py
@@ -25,6 +25,7 @@
 from burdocksill.packets.load_table import LoadTable
 from burdocksill.packets.metrics import MetricsPage
 from burdocksill.packets.shared_load import SharedLoad
+from burdocksill.packets.supervision import failures
 from burdocksill.packets.upstreams import KnownUpstream
 from burdocksill.platform.records import UPSTREAMS
 from burdocksill.readers.load_messages import UpstreamLoad, group_number
@@ -49,6 +50,9 @@
     seen: list[SharedLoad] = attrs.field(factory=list)
     load_datagrams: int = 0
     known: Any = None
+    services: list[str] = attrs.field(factory=list)
+    # Errors of parts of nodes before.
+    failures: Counter[str] = attrs.field(factory=failures.copy)
 
 
 def fleet_step(
@@ -119,6 +123,80 @@
     start_measuring(script, fleet)
 
 
+@fleet_step(
+    given,
+    '{count:d} services in {domains:d} domains with a request in progress each',
+)
+async def add_services(
+    fleet: SharedFleet, script: LoadScript, count: int, domains: int
+) -> None:
+    """Register an upstream of each service in each domain, with one flow."""
+    script.services = [f'team-{number}' for number in range(count)]
+    for domain in range(domains):
+        for number, name in enumerate(script.services):
+            entry = {
+                'Service': name,
+                'Address': f'10.2.{domain}.{number // 200 + 1}:{8000 + number}',
+                'Zone': f'd{domain}',
+                'Version': 'v1',
+                'Slots': SLOTS,
+                'State': 'ready',
+                'WarmupMs': 0,
+                'Seq': 1,
+            }
+            key = f'{UPSTREAMS}i-{domain + 1:04x}{number:04x}'
+            fleet.store.put(key, json.dumps(entry).encode())
+    await fleet.run(3)
+    for domain in range(domains):
+        nodes = nodes_of(fleet, f'd{domain}')
+        known = nodes[0].core.updater.upstreams
+        for number, name in enumerate(script.services):
+            node = nodes[number % len(nodes)]
+            for upstream in known.candidates(name, f'd{domain}'):
+                open_flow(fleet, node, upstream, is_waiting=True)
+
+
+def known_spare(
+    fleet: SharedFleet, script: LoadScript
+) -> list[tuple[FleetNode, str, float | None]]:
+    """Return what each node knows of each service in each domain."""
+    now = trio.current_time()
+    return [
+        (node, service, table_of(node).spare_slots(service, f'd{domain}', now))
+        for node in fleet.living()
+        for service in script.services
+        for domain in range(3)
+    ]
+
+
+@fleet_step(then, 'all nodes know the spare slots of each service')
+async def check_services(fleet: SharedFleet, script: LoadScript) -> None:
+    """Compare with the one request in progress of each."""
+    wrong = [
+        (node.settings.name, service, spare)
+        for node, service, spare in known_spare(fleet, script)
+        if spare != SLOTS - 1
+    ]
+    assert not wrong, (len(wrong), wrong[:3])
+
+
+@fleet_step(then, 'no node knows wrong spare slots of a service')
+async def check_unknown(fleet: SharedFleet, script: LoadScript) -> None:
+    """Allow right values and unknown ones."""
+    wrong = [
+        (node.settings.name, service, spare)
+        for node, service, spare in known_spare(fleet, script)
+        if spare not in {None, SLOTS - 1}
+    ]
+    assert not wrong, (len(wrong), wrong[:3])
+
+
+@fleet_step(then, 'no part of a node has failed')
+async def check_parts(fleet: SharedFleet, script: LoadScript) -> None:
+    """Check the errors that supervision has counted."""
+    assert failures == script.failures, failures - script.failures
+
+
 def open_flow(
     fleet: SharedFleet,
     node: FleetNode,
