Let one field of a manifest take nothing else with it

Change: a number above what the code can use acts like the largest that it can use. A field, or a row, that can't be used is left out alone; the log tells each (`part of the manifest left out`), and `manifest in force` has their number. Only a version or lists that can't be read leave the manifest before in force. While a row names no route that can be used, routes in force that the newer manifest doesn't name stay, as it may be one of them.

Related: a large priority number would have given urgent routes a limit of hundreds of times the usual: urgency now counts the priorities in use, not their distance (the same for those of all sites, 1 and 2). A node without a manifest does not answer that it is ready. An entry that the decoder fails on unexpectedly keeps the node from no other entry. Names in log lines are cut at 1000 letters. Entries of upstreams may have more slots or a longer warm-up than the code can use; numbers beyond 64 bits still name no upstream.

--- a/burdocksill/observe/writer.py
+++ b/burdocksill/observe/writer.py
@@ -14,6 +14,15 @@
 # Rate limit of lines with the same message; others are counted.
 LINES_PER_SECOND: Final = 100
 STANDARD_OUTPUT: Final = 1
+# Names in the store may be as long as its values.
+MAX_TEXT_LETTERS: Final = 1000
+
+
+def shorten(field: object) -> object:
+    """Cut a text that would make a line too long; others fill bounded room."""
+    if isinstance(field, str) and len(field) > MAX_TEXT_LETTERS:
+        return field[:MAX_TEXT_LETTERS] + '...'
+    return field
 
 
 class LineRateLimit:
@@ -73,7 +82,7 @@
             'level': level,
             'node': self.node,
             'message': message,
-            **fields,
+            **{name: shorten(one) for name, one in fields.items()},
         }
         if rate_limit.left_out:
             line['left_out'] = rate_limit.left_out
--- a/burdocksill/packets/messages.py
+++ b/burdocksill/packets/messages.py
@@ -84,7 +84,14 @@
 class Manifest(Value):
     """One complete version of the operators' configuration."""
 
-    __slots__ = ('idle_seconds', 'routes', 'services', 'version')
+    __slots__ = (
+        'faults',
+        'has_unread_routes',
+        'idle_seconds',
+        'routes',
+        'services',
+        'version',
+    )
 
     def __init__(
         self,
@@ -93,8 +100,14 @@
         routes: tuple[Route, ...],
         services: dict[str, ServiceLimits],
         idle_seconds: float = 15,
+        faults: tuple[str, ...] = (),
+        has_unread_routes: bool = False,
     ) -> None:
         """Store the arguments."""
+        # True if some rows name no route that can be used.
+        self.has_unread_routes = has_unread_routes
+        # Why some of its fields or rows are left out.
+        self.faults = faults
         self.version = version
         self.routes = routes
         self.services = services
--- a/burdocksill/packets/node.py
+++ b/burdocksill/packets/node.py
@@ -46,8 +46,16 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return True after the first full read of the store, until a stop."""
-        return self.core.progress.is_synced and not self.stopping
+        """Return True after a full read of the store, until a stop.
+
+        Without a manifest this node would drop all openings, while others may
+        have one in force.
+        """
+        return (
+            self.core.progress.is_synced
+            and self.core.updater.table.version > 0
+            and not self.stopping
+        )
 
     async def run(self, *tasks: Task) -> None:
         """Serve until SIGTERM, then until flows have moved to other nodes."""
--- a/burdocksill/packets/placement.py
+++ b/burdocksill/packets/placement.py
@@ -168,7 +168,7 @@
         exclude: Container[str] = NO_EXCLUSIONS,
     ) -> KnownUpstream | Reason:
         """Return an upstream for a new flow, or why there is none."""
-        urgency = self.table.least_urgent - route.priority
+        urgency = self.table.urgency(route)
         reason = Reason.NO_UPSTREAM
         self.cold.track_nodes(now)
         ordered = self.in_weighted_order(route.weighted_services)
--- a/burdocksill/packets/routing.py
+++ b/burdocksill/packets/routing.py
@@ -16,7 +16,7 @@
     have already replaced.
     """
 
-    __slots__ = ('least_urgent', 'manifest', 'removed', 'routes')
+    __slots__ = ('least_urgent', 'manifest', 'removed', 'routes', 'urgencies')
 
     def __init__(self) -> None:
         """Start without a manifest."""
@@ -26,6 +26,8 @@
         self.removed: set[Endpoint] = set()
         # The highest priority number, which is the least urgent.
         self.least_urgent: int = 0
+        # The number of less urgent priorities in use, by priority.
+        self.urgencies: dict[int, int] = {}
 
     @property
     def version(self) -> int:
@@ -37,12 +39,17 @@
         if manifest.version <= self.version:
             return False
         routes = {(one.address, one.port): one for one in manifest.routes}
+        if manifest.has_unread_routes:
+            # Any route in force may be the one that could not be read.
+            routes = self.routes | routes
         self.removed = (self.removed | self.routes.keys()) - routes.keys()
         self.routes = routes
-        self.least_urgent = max(
-            (one.priority for one in manifest.routes),
-            default=0,
-        )
+        priorities = {one.priority for one in routes.values()}
+        self.least_urgent = max(priorities, default=0)
+        self.urgencies = {
+            priority: urgency
+            for urgency, priority in enumerate(sorted(priorities, reverse=True))
+        }
         self.manifest = manifest
         return True
 
@@ -50,6 +57,13 @@
         """Return the route of an address and port, or None."""
         return self.routes.get(endpoint)
 
+    def urgency(self, route: Route) -> int:
+        """Return by how many steps a route goes before the least urgent one.
+
+        Priorities only order routes: a gap between two of them is one step.
+        """
+        return self.urgencies.get(route.priority, 0)
+
     def was_removed(self, endpoint: Endpoint) -> bool:
         """Return True if a newer manifest has removed the route."""
         return endpoint in self.removed
--- a/burdocksill/packets/updater.py
+++ b/burdocksill/packets/updater.py
@@ -28,6 +28,13 @@
 from burdocksill.platform.values import Snapshot, StoredValue
 from burdocksill.readers.messages import ReaderEntry
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Final
+
+# Most log lines about one manifest; its first line has their number.
+MAX_LOGGED_FAULTS: Final = 10
+
 logger = EarlyLogger(__name__)
 Decoder = Callable[[StoredValue], StoreUpdate | None]
 
@@ -169,6 +176,7 @@
                     'version': update.manifest.version,
                     'before': before,
                     'routes': len(update.manifest.routes),
+                    'faults': len(update.manifest.faults),
                     'cold_per_s': {
                         name: limits.cold_per_second
                         for name, limits in update.manifest.services.items()
@@ -176,6 +184,14 @@
                     },
                 },
             )
+            for cause in update.manifest.faults[:MAX_LOGGED_FAULTS]:
+                logger.warning(
+                    'part of the manifest left out',
+                    extra={
+                        'version': update.manifest.version,
+                        'cause': cause,
+                    },
+                )
 
     def apply_domain(self, update: DomainUpdate) -> None:
         """Take a failure domain out of service, or put it back."""
@@ -259,10 +275,14 @@
         for stored in found.values:
             try:
                 one = self.decode(stored)
-            except RecordInvalidError as error:
+            except Exception as error:  # noqa: BLE001
+                # One entry that the decoder did not expect must not keep the
+                # node from following all others.
+                is_expected = isinstance(error, RecordInvalidError)
+                cause = str(error) if is_expected else repr(error)
                 logger.warning(
                     'entry unreadable',
-                    extra={'key': stored.key, 'cause': str(error)},
+                    extra={'key': stored.key, 'cause': cause},
                 )
                 continue
             if one is not None:
--- a/burdocksill/platform/fields.py
+++ b/burdocksill/platform/fields.py
@@ -9,18 +9,22 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any, Final, TypeVar
 
     Number = TypeVar('Number', int, float)
+    Found = TypeVar('Found')
 
-# Keys of the store have at most 200 bytes, and zones are parts of keys.
-MAX_TEXT_BYTES: Final = 200
+# Longer ones are no numbers that a field means; int() refuses them.
+MAX_DIGITS: Final = 400
+# Letters of a stored text in an error.
+SHOWN_LETTERS: Final = 80
 
 
 def read_object(value: bytes) -> dict[str, Any]:
     """Decode a JSON object."""
     try:
-        found = json.loads(value)
+        found = load_json(value)
     except (ValueError, RecursionError) as error:
         raise RecordInvalidError(
             message=f'{len(value)} bytes that are not JSON: {error}',
@@ -50,18 +54,55 @@
         )
     if kind is str and not is_sound_text(field):
         raise RecordInvalidError(
-            message=f'{name} is not a text of at most {MAX_TEXT_BYTES} bytes',
+            message=f'{name} is not a text that UTF-8 can encode',
             hint='the entry is ignored until it is written again',
         )
     return field
 
 
 def is_sound_text(text: str) -> bool:
-    """Return False for a text that is too long, or that UTF-8 can't encode."""
+    """Return False for a text that UTF-8 can't encode."""
     try:
-        return len(text.encode()) <= MAX_TEXT_BYTES
+        text.encode()
     except UnicodeEncodeError:
         return False
+    return True
+
+
+def load_json(value: bytes) -> Any:
+    """Decode JSON; an integer of too many digits becomes infinity."""
+    try:
+        return json.loads(value)
+    except ValueError:
+        # int() also raises it, for an integer with too many digits.
+        return json.loads(value, parse_int=read_digits)
+
+
+def read_digits(digits: str) -> float:
+    """Return an integer, infinity if it has too many digits."""
+    if len(digits) <= MAX_DIGITS:
+        return int(digits)
+    return -math.inf if digits.startswith('-') else math.inf
+
+
+def get_capped(
+    found: dict[str, Any], name: str, most: Number, *, default: Number | None
+) -> Number:
+    """Return a number of 0 or more, `most` for a larger one.
+
+    For fields without a largest value on the platform's pages. The type of
+    `most` is that of the field; a default of None means it is required.
+    """
+    field: Any = found.get(name, default)
+    kind = type(most)
+    is_number = isinstance(field, (int, float)) and not isinstance(field, bool)
+    is_whole = isinstance(field, int) or field == math.inf
+    if not is_number or not field >= 0 or (kind is int and not is_whole):
+        raise RecordInvalidError(
+            message=f'{name} is not a {kind.__name__} of 0 or more',
+            hint='the field is ignored until it is written again',
+        )
+    return kind(min(field, most))
 
 
 def get_number(
@@ -109,12 +150,39 @@
         return math.inf
 
 
-def get_objects(found: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    """Return a list of objects, empty if the field is missing."""
+def get_rows(
+    found: dict[str, Any], name: str, faults: Faults
+) -> list[dict[str, Any]]:
+    """Return the objects of a list, empty if the field is missing.
+
+    Other values in the list are left out as faults.
+    """
     rows: list[Any] = get_field(found, name, list, [])
-    if not all(isinstance(row, dict) for row in rows):
-        raise RecordInvalidError(
-            message=f'{name} contains values that are not objects',
-            hint='the entry is ignored until it is written again',
-        )
-    return rows
+    usable = [row for row in rows if isinstance(row, dict)]
+    left_out = len(rows) - len(usable)
+    if left_out:
+        faults.causes.append(f'{name}: {left_out} rows are not objects')
+    return usable
+
+
+class Faults:
+    """Collect why parts of a stored value can't be used."""
+
+    __slots__ = ('causes',)
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        self.causes: list[str] = []
+
+    def find(self, read: Callable[[], Found]) -> Found | None:
+        """Return what was read; None and a fault if it is invalid."""
+        try:
+            return read()
+        except RecordInvalidError as error:
+            self.causes.append(str(error))
+            return None
+
+    def attempt(self, read: Callable[[], Found], default: Found) -> Found:
+        """Return what was read; the default and a fault if it is invalid."""
+        found = self.find(read)
+        return default if found is None else found
