Refuse stored records that are nested too deeply

What operators of like systems saw: one odd entry of another writer, very deeply nested, ended the machines that read the list, again and again. On the packet path this could not happen; on the project's own interface it could.

Cause: msgspec raises RecursionError, which is no MsgspecError, for a deep value, even in a field that the record does not have. Nothing on the way from the watch of the store to the process caught it, so that one record under the prefix of documents, fleet keys or VMs ended each VM that read it. The same holds for answers of upstreams and peers' datagrams. tomllib raises it too, and a plain ValueError for a number of more than 4300 digits.

Change: all JSON of other programs is decoded by one function that turns it into a MsgspecError, which each caller already handles for its record alone.

Ports and numbers out of range were refused before.

--- a/burdocksill/admin/client.py
+++ b/burdocksill/admin/client.py
@@ -15,6 +15,7 @@
 )
 from burdocksill.admin.explain import ExplainQuery
 from burdocksill.admin.messages import Explanation, NodeStatus, Problem
+from burdocksill.decoding import decode_json
 from burdocksill.membership.protocols import MemberState
 from burdocksill.network.protocols import Address
 
@@ -194,9 +195,9 @@
     """Decode a page, or raise the error that it reports."""
     try:
         if reply.status_code == httpx.codes.BAD_REQUEST:
-            problem = msgspec.json.decode(reply.content, type=Problem)
+            problem = decode_json(reply.content, Problem)
             raise QueryInvalidError(message=problem.message, hint=problem.hint)
-        return msgspec.json.decode(reply.content, type=kind)
+        return decode_json(reply.content, kind)
     except msgspec.MsgspecError as error:
         raise AdminUnreachableError(
             message=f'{url} returned an unexpected answer: {error}',
--- a/burdocksill/documents/acceptance.py
+++ b/burdocksill/documents/acceptance.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from burdocksill.decoding import decode_json
 from burdocksill.documents.differences import describe, differences
 from burdocksill.documents.exceptions import (
     DocumentConflictError,
@@ -70,7 +71,7 @@
     if stored is None:
         return ()
     try:
-        found = msgspec.json.decode(stored.value, type=Edits)
+        found = decode_json(stored.value, Edits)
     except msgspec.MsgspecError as error:
         raise DocumentInvalidError(
             message=f"{stored.key} can't be decoded: {error}",
--- a/burdocksill/documents/models.py
+++ b/burdocksill/documents/models.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from burdocksill.decoding import decode_json
 from burdocksill.documents.exceptions import DocumentInvalidError
 from burdocksill.flows.cookie import name_tag
 from burdocksill.network.protocols import Address
@@ -104,7 +105,7 @@
 def decode_document(encoded: bytes) -> ServiceDocument:
     """Decode a stored document; raise DocumentInvalidError."""
     try:
-        return msgspec.json.decode(encoded, type=ServiceDocument)
+        return decode_json(encoded, ServiceDocument)
     except msgspec.MsgspecError as error:
         raise DocumentInvalidError(
             message=f'the document cannot be read: {error}',
--- a/burdocksill/documents/schema.py
+++ b/burdocksill/documents/schema.py
@@ -23,7 +23,8 @@
     """Parse a TOML document; raise DocumentInvalidError."""
     try:
         raw: dict[str, Any] = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # Also for numbers of too many digits, and for deep nesting.
         raise DocumentInvalidError(
             message=f'the document is not TOML: {error}',
             hint='correct the line that is named',
--- a/burdocksill/documents/store.py
+++ b/burdocksill/documents/store.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from burdocksill.decoding import decode_json
 from burdocksill.documents.departures import DeparturesRecord
 from burdocksill.documents.models import (
     DomainRecord,
@@ -140,14 +141,11 @@
             else:
                 self.services[document.service] = document
         elif offered.key.startswith(keys.DOMAINS):
-            record = msgspec.json.decode(offered.value, type=DomainRecord)
+            record = decode_json(offered.value, DomainRecord)
             require_key(offered.key, keys.domain_key(record.domain))
             self.domains[record.domain] = record
         elif offered.key == keys.DEPARTURES:
-            departures = msgspec.json.decode(
-                offered.value,
-                type=DeparturesRecord,
-            )
+            departures = decode_json(offered.value, DeparturesRecord)
             self.leaving_hosts = frozenset(departures.hosts)
 
     def is_out(self, domain: str) -> bool:
--- a/burdocksill/flows/keys.py
+++ b/burdocksill/flows/keys.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from burdocksill.decoding import decode_json
 from burdocksill.flows.exceptions import KeysInvalidError, KeysMissingError
 
 SECRET_BYTES: Final = 32
@@ -75,7 +76,7 @@
     All keys are checked here, or one would only fail when it signs.
     """
     try:
-        ring = msgspec.json.decode(encoded, type=KeyRing)
+        ring = decode_json(encoded, KeyRing)
         usable = ring.find(ring.current) is not None and all(
             0 <= key.key_id < KEY_ID_LIMIT and key.secret_bytes
             for key in ring.keys
--- a/burdocksill/management/domains.py
+++ b/burdocksill/management/domains.py
@@ -3,6 +3,7 @@
 import attrs
 import msgspec
 
+from burdocksill.decoding import decode_json
 from burdocksill.documents.exceptions import DocumentInvalidError
 from burdocksill.documents.models import (
     DomainRecord,
@@ -48,7 +49,7 @@
 def decode_line(stored: StoredValue) -> DomainLine:
     """Decode a record of a failure domain."""
     try:
-        record = msgspec.json.decode(stored.value, type=DomainRecord)
+        record = decode_json(stored.value, DomainRecord)
     except msgspec.MsgspecError as error:
         raise DocumentInvalidError(
             message=f'{stored.key} cannot be decoded: {error}',
--- a/burdocksill/peers/envelope.py
+++ b/burdocksill/peers/envelope.py
@@ -107,7 +107,7 @@
             )
         try:
             message = decoder.decode(body[HEADER.size :])
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise PeerDatagramError(
                 message=str(error),
                 reason=RefusedReason.UNREADABLE,
--- a/burdocksill/platform/vms.py
+++ b/burdocksill/platform/vms.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from burdocksill.decoding import decode_json
 from burdocksill.platform.exceptions import RecordInvalidError
 from burdocksill.platform.protocols import VmRecord
 from burdocksill.platform.values import StoredValue
@@ -18,7 +19,7 @@
 def decode_vm(encoded: bytes) -> VmRecord:
     """Decode a VM's record; raise RecordInvalidError."""
     try:
-        record = msgspec.json.decode(encoded, type=VmRecord)
+        record = decode_json(encoded, VmRecord)
     except msgspec.MsgspecError as error:
         raise RecordInvalidError(message=f'not a VM: {error}') from error
     ports = (record.caller_port, record.peer_port, record.admin_port)
--- a/burdocksill/upstreams/health.py
+++ b/burdocksill/upstreams/health.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from burdocksill.decoding import decode_json
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.upstreams.connection import HTTP_OK, UpstreamConnection
 from burdocksill.upstreams.messages import UpstreamRequest
@@ -62,6 +63,6 @@
     if answer.status != HTTP_OK:
         return None
     try:
-        return msgspec.json.decode(answer.payload, type=kind)
+        return decode_json(answer.payload, kind)
     except msgspec.MsgspecError:
         return None
--- a/burdocksill/upstreams/identity.py
+++ b/burdocksill/upstreams/identity.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from burdocksill.decoding import decode_json
 from burdocksill.requests.exceptions import RequestFailedError
 from burdocksill.requests.verdict import Reason, Verdict
 from burdocksill.upstreams.connection import HTTP_OK, UpstreamConnection
@@ -29,7 +30,7 @@
             message=f'{IDENTITY_PATH} answered {answer.status}',
         )
     try:
-        return msgspec.json.decode(answer.payload, type=Identity)
+        return decode_json(answer.payload, Identity)
     except msgspec.MsgspecError as error:
         raise IdentityMismatchError(
             message=f'{IDENTITY_PATH} cannot be read: {error}',
--- a/tests/documents/foreign_records.feature
+++ b/tests/documents/foreign_records.feature
@@ -21,6 +21,10 @@
       | slots            | 99999999999999999999 |
       | host             | "ledger" |
       | name             | ""       |
+      | extra            | 100000 brackets |
+      | slots            | 100000 brackets |
+      | slots            | 5000 nines |
+      | port             | 5000 nines |
 
   Scenario: The log line about a record has a bounded length
     # Guards against a record that fills the log.
@@ -57,6 +61,8 @@
       | secret  | ""         |
       | secret  | "x"        |
       | secret  | "\ud800"   |
+      | extra   | 100000 brackets |
+      | key_id  | 5000 nines |
 
   Scenario: The derived list of departures can't be written
     # Guards against a record in the store that drains living upstreams.
@@ -78,6 +84,8 @@
       | state     | "gone" |
       | peer_port | 70000  |
       | peer_port | -1     |
+      | peer_port | 5000 nines |
+      | extra     | 100000 brackets |
 
   Scenario: A key that is no text hides no other
     # Guards against a watch that ends at each foreign key.
--- a/tests/steps/documents_foreign_records.py
+++ b/tests/steps/documents_foreign_records.py
@@ -33,6 +33,14 @@
 VM = {'domain': 'a', 'role': 'entry', 'host': '192.0.2.1', 'peer_port': 9}
 
 
+# Stands for a text that the encoder can't write.
+MARKER = '@odd@'
+ODD_TEXTS = {
+    '100000 brackets': '[' * 100_000 + ']' * 100_000,
+    '5000 nines': '9' * 5000,
+}
+
+
 def with_field(record: dict[str, Any], field: str, value: Any) -> bytes:
     """Encode a record with a field replaced, there or in its first row."""
     changed = dict(record)
@@ -43,6 +51,13 @@
     return json.dumps({**changed, field: value}).encode()
 
 
+def with_text(record: dict[str, Any], field: str, text: str) -> bytes:
+    """Return a record as JSON with one field that a table names."""
+    encoded = with_field(record, field, MARKER)
+    odd = ODD_TEXTS.get(text, text).encode()
+    return encoded.replace(json.dumps(MARKER).encode(), odd)
+
+
 def offer(context: Context, key: str, revision: int, value: bytes) -> None:
     """Offer a record to the store."""
     context.store.offer(
@@ -62,7 +77,7 @@
 @when('a newer document of "ledger" has {field} {value}')
 def offer_odd(context: Context, field: str, value: str) -> None:
     """Offer a document with one odd field."""
-    encoded = with_field(DOCUMENT, field, json.loads(value))
+    encoded = with_text(DOCUMENT, field, value)
     offer(context, keys.document_key('ledger'), 2, encoded)
 
 
@@ -126,7 +141,7 @@
 def write_keys(context: Context, field: str, value: str) -> None:
     """Write a ring with one odd field."""
     ring = json.loads(encode_ring(context.ring))
-    encoded = with_field(ring, field, json.loads(value))
+    encoded = with_text(ring, field, value)
     apply(context, keys.FLEET_KEYS, 2, encoded)
 
 
@@ -171,8 +186,10 @@
 @when("a VM's record has {field} {value}")
 def write_vm(context: Context, field: str, value: str) -> None:
     """Add a VM with one odd field, before the others."""
-    record = {**VM, 'name': 'odd', field: json.loads(value)}
-    context.pairs.insert(0, pair(f'{keys.VMS}odd'.encode(), record))
+    encoded = with_text({**VM, 'name': 'odd'}, field, value)
+    odd = pair(f'{keys.VMS}odd'.encode(), VM)
+    odd['value'] = base64.b64encode(encoded).decode()
+    context.pairs.insert(0, odd)
 
 
 @when('a key has bytes that are no text')
