--- a/tests/packets/busy_upstreams.feature
+++ b/tests/packets/busy_upstreams.feature
@@ -43,6 +43,20 @@
     And 0.3 seconds pass
     Then all flows of the first node were ended by a node
 
+  Scenario Outline: A request is probed once, if its upstream answers nobody
+    # Guards against copies of requests that are answered soon.
+    Given 3 nodes and an upstream with 60 flows, opened one by one
+    When all its slots work <work> seconds on requests of other nodes
+    And 3 flows of the first node send a request, 0.01 seconds apart
+    And 2 seconds pass
+    Then the first node has sent <probes> probes
+    And every request is served
+
+    Examples:
+      | work | probes |
+      | 0.05 | 0      |
+      | 0.9  | 3      |
+
   Scenario: One client that hears nothing ends no other flow
     # Guards against a failed link of a client that looks like a dark upstream.
     Given 3 nodes and an upstream with 60 flows, opened one by one
--- a/tests/steps/packets_busy_upstreams.py
+++ b/tests/steps/packets_busy_upstreams.py
@@ -9,6 +9,7 @@
 from burdocksill.packets.flows import TrackedFlow
 from burdocksill.packets.messages import UpstreamRecord, UpstreamState
 from burdocksill.packets.upstreams import KnownUpstream
+from burdocksill.packets.verdicts import Reason
 
 NOW = 100.0
 
@@ -52,6 +53,13 @@
     assert ended in ([], [context.deaf]), len(ended)
 
 
+@then('the first node has sent {count:d} probes')
+def check_probes(context: Context, count: int) -> None:
+    """Compare with the packet counts."""
+    counts = world_of(context).nodes[0].core.counts
+    assert counts[Reason.PROBED.value] == count, counts
+
+
 @given('a flow whose request was sent {seconds:f} seconds ago')
 def make_waiting_flow(context: Context, seconds: float) -> None:
     """Track a flow with an unanswered request."""
